--- a/src/consensus/storage.h
+++ b/src/consensus/storage.h
@@ -57,7 +57,8 @@
 
     // Takes the lock and reads everything. Call it once.
     open_report open();
-    // Sets up a replica in a folder that is `empty` or `corrupt`, and removes what was there.
+    // Sets up a replica in a folder that is `empty` or `corrupt`, or whose replica was removed from
+    // its cluster, and removes what was there.
     // Voters of a new cluster start with bootstrap_snapshot; later members start with {}.
     std::optional<storage_error> set_up(replica_id id, const snapshot& first);
     // Makes the state, snapshot and entries of one `ready` durable.
--- /dev/null
+++ b/src/control/cluster_links.cpp
@@ -0,0 +1,116 @@
+#include "control/cluster_links.h"
+
+#include "base/ini.h"
+#include "base/log.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <utility>
+
+namespace clementine::control {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Short enough that a link that went silent is replaced within 1.5 s.
+constexpr wire::link_settings link_limits{.heartbeat_interval = 400,
+                                          .silence_limit = 1'300,
+                                          .connect_timeout = 700,
+                                          .reconnect_min = 50,
+                                          .reconnect_max = 400};
+
+std::optional<asio::ip::tcp::endpoint> parse_node(const std::string& node) {
+    const auto text = parse_endpoint(node);
+    if (!text)
+        return std::nullopt;
+    return asio::ip::tcp::endpoint(asio::ip::make_address(text->address), text->port);
+}
+
+} // namespace
+
+cluster_links::cluster_links(asio::io_context& loop, wire::hello self, callbacks handlers)
+    : loop_(loop), self_(std::move(self)), handlers_(std::move(handlers)) {}
+
+std::string cluster_links::listen(const std::string& address) {
+    const auto endpoint = parse_node(address);
+    if (!endpoint)
+        return "not an address: " + address;
+    wire::channel_server::handlers accepting;
+    accepting.opened = [this](const std::shared_ptr<wire::connection>& peer) {
+        callers_.insert(peer);
+    };
+    accepting.received = [this](const std::shared_ptr<wire::connection>& peer,
+                                wire::message&& value) {
+        handlers_.accepted(peer, std::move(value));
+    };
+    accepting.closed = [this](const std::shared_ptr<wire::connection>& peer,
+                              const wire::close_info&) { callers_.erase(peer); };
+    server_ = std::make_shared<wire::channel_server>(loop_, self_, link_limits, accepting);
+    return server_->listen(*endpoint);
+}
+
+void cluster_links::connect(const std::string& node) {
+    if (stopped_ || node == self_.node || channels_.contains(node))
+        return;
+    const auto endpoint = parse_node(node);
+    if (!endpoint) {
+        log_event(log_level::warning, "peer_ignored").field("node", node);
+        return;
+    }
+    wire::channel::handlers calling;
+    calling.opened = [this, node](const wire::hello&) {
+        log_event(log_level::info, "peer_connected").field("peer", node);
+        handlers_.opened(node);
+    };
+    calling.received = [this, node](wire::message&& value) {
+        handlers_.received(node, std::move(value));
+    };
+    calling.closed = [this, node](const wire::close_info& info) {
+        log_event(log_level::warning, "peer_lost")
+            .field("peer", node)
+            .field("reason", to_name(info.reason));
+        handlers_.closed(node);
+    };
+    auto& channel = channels_[node];
+    channel = std::make_shared<wire::channel>(loop_, *endpoint, self_, link_limits, calling);
+    channel->start();
+}
+
+void cluster_links::keep_only(const std::set<std::string>& nodes) {
+    for (auto it = channels_.begin(); it != channels_.end();) {
+        if (nodes.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        // The channel may be in a callback of its own, so it is released later.
+        asio::post(loop_, [channel = it->second] { channel->stop(); });
+        it = channels_.erase(it);
+    }
+}
+
+bool cluster_links::send(const std::string& node, const wire::message& value) {
+    const auto at = channels_.find(node);
+    return at != channels_.end() && at->second->send(value);
+}
+
+bool cluster_links::is_open(const std::string& node) const {
+    const auto at = channels_.find(node);
+    return at != channels_.end() && at->second->is_open();
+}
+
+void cluster_links::broadcast(const wire::message& value) {
+    for (const auto& peer : callers_)
+        peer->send(value);
+}
+
+void cluster_links::stop() {
+    stopped_ = true;
+    if (server_)
+        server_->stop();
+    for (const auto& [node, channel] : channels_)
+        channel->stop();
+}
+
+} // namespace clementine::control
--- /dev/null
+++ b/src/control/job_control.cpp
@@ -0,0 +1,685 @@
+#include "control/job_control.h"
+
+#include "base/ini.h"
+#include "base/log.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+namespace clementine::control {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using namespace clementine::workload;
+
+namespace {
+
+constexpr time_ms tick_interval{25};
+// Decisions wait this long for further observations, so that one log entry carries several.
+constexpr time_ms round_delay{3};
+constexpr time_ms directory_interval{150};
+constexpr time_ms join_interval{200};
+// Answers from workers and the platform come within some ms; orders are repeated after this time.
+constexpr time_ms order_limit{400};
+// A hold is answered this long after its own wait at the latest.
+constexpr time_ms hold_slack{600};
+// Operators and workers turn to another node after 1,000 ms without an answer.
+constexpr route_limits control_limits{.total = 900, .without_leader = 700};
+constexpr time_ms hand_over_limit{1'200};
+constexpr time_ms hand_over_check{20};
+// Connections to workers that were not used for this long are closed.
+constexpr time_ms pool_memory{15'000};
+// Orders to one worker at a time; one that goes unanswered must not hold up the others.
+constexpr std::size_t order_connections = 4;
+constexpr std::uint64_t max_body_bytes = 4U << 20;
+constexpr std::size_t max_control_connections = 1'500;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+asio::ip::tcp::endpoint to_endpoint(const std::string& address) {
+    const auto text = parse_endpoint(address).value_or(endpoint_text{"0.0.0.0", 0});
+    return {asio::ip::make_address(text.address), text.port};
+}
+
+wire::call_reply answer(std::uint64_t id, unsigned status, std::string body = {},
+                        time_ms retry_after = 0) {
+    wire::call_reply out;
+    out.id = id;
+    out.handled = true;
+    out.status = status;
+    out.retry_after = retry_after;
+    out.body = std::move(body);
+    return out;
+}
+
+std::string_view without_port(std::string_view host) {
+    return host.substr(0, host.find(':'));
+}
+
+std::string_view without_query(std::string_view target) {
+    return target.substr(0, target.find('?'));
+}
+
+} // namespace
+
+job_control::job_control(asio::io_context& loop, job_control_settings settings,
+                         const fleet_protocol& protocol, consensus::file_system& files,
+                         const clock_source& clock, std::function<void(const std::string&)> failed)
+    : loop_(loop), settings_(std::move(settings)), protocol_(protocol), clock_(clock),
+      failed_(std::move(failed)), controller_(table_, settings_.decisions), tick_timer_(loop),
+      round_timer_(loop) {
+    create_links();
+    log_node_settings log;
+    log.self = settings_.links;
+    log.cluster = "clementineroad";
+    log.folder = settings_.folder;
+    log.founders = settings_.seeds;
+    log.first_start = settings_.first_start;
+    log.seed = wire::new_boot_id();
+    log.min_voters = 2 * settings_.tolerated_losses + 1;
+    log_node::callbacks callbacks;
+    callbacks.send = [this](const std::string& node, const consensus::message& value) {
+        links_->connect(node);
+        links_->send(node, value);
+    };
+    callbacks.apply = [this](const consensus::entry& item) { apply(item); };
+    callbacks.load = [this](std::string_view bytes) { return table_.load(bytes); };
+    callbacks.save = [this] { return table_.save(); };
+    callbacks.failed = failed_;
+    log_ = std::make_unique<log_node>(loop_, std::move(log), files, clock_, callbacks);
+}
+
+job_control::~job_control() = default;
+
+void job_control::create_links() {
+    wire::hello self;
+    self.cluster = "clementineroad";
+    self.node = settings_.links;
+    self.role = wire::node_role::controld;
+    self.availability_zone = settings_.availability_zone;
+    self.boot_id = wire::new_boot_id();
+    cluster_links::callbacks callbacks;
+    callbacks.accepted = [this](const std::shared_ptr<wire::connection>& peer,
+                                wire::message&& value) { handle_link(peer, std::move(value)); };
+    callbacks.received = [this](const std::string& node, wire::message&& value) {
+        handle_answer(node, std::move(value));
+    };
+    callbacks.opened = [this](const std::string& node) { router_->observe_opened(node); };
+    callbacks.closed = [this](const std::string& node) { router_->observe_closed(node); };
+    links_ = std::make_unique<cluster_links>(loop_, std::move(self), std::move(callbacks));
+    router_ = std::make_unique<leader_router>(
+        loop_, clock_, *links_, [this](const wire::call& request, const reply_handler& reply) {
+            return handle_call(request, reply);
+        });
+}
+
+std::string job_control::start() {
+    auto problem = log_->start();
+    if (problem.empty())
+        problem = listen();
+    if (!problem.empty())
+        return problem;
+    for (const auto& seed : settings_.seeds)
+        links_->connect(seed);
+    if (!settings_.machines.empty())
+        machines_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.machines),
+                                                order_connections);
+    schedule_tick();
+    return {};
+}
+
+std::string job_control::listen() {
+    auto problem = links_->listen(settings_.links);
+    if (!problem.empty())
+        return "cannot listen on " + settings_.links + ": " + problem;
+    http_limits limits;
+    limits.body_bytes = max_body_bytes;
+    limits.connections = max_control_connections;
+    server_ = std::make_shared<http_server>(
+        loop_, limits, [this](const http_request& request, const http_respond& respond) {
+            handle_http(request, respond);
+        });
+    problem = server_->listen(to_endpoint(settings_.listen));
+    if (!problem.empty())
+        return "cannot listen on " + settings_.listen + ": " + problem;
+    admin_ = std::make_shared<http_server>(
+        loop_, http_limits{}, [this](const http_request& request, const http_respond& respond) {
+            handle_admin(request, respond);
+        });
+    problem = admin_->listen(to_endpoint(settings_.admin));
+    return problem.empty() ? problem : "cannot listen on " + settings_.admin + ": " + problem;
+}
+
+void job_control::set_seeds(const std::vector<std::string>& seeds) {
+    settings_.seeds = seeds;
+    for (const auto& seed : seeds)
+        links_->connect(seed);
+}
+
+void job_control::stop_gracefully(std::function<void()> stopped) {
+    stopping_ = true;
+    log_->hand_over();
+    const auto deadline = clock_.now() + hand_over_limit;
+    auto timer = std::make_shared<asio::steady_timer>(loop_);
+    // Answers to what is under way go out while leadership moves.
+    auto check = std::make_shared<std::function<void()>>();
+    *check = [this, timer, check, deadline, stopped = std::move(stopped)] {
+        const bool leads = log_->role() == consensus::replica_role::leader;
+        if ((!leads && waiting_.empty()) || clock_.now() >= deadline) {
+            stop();
+            asio::post(loop_, [check] { *check = nullptr; });
+            return stopped();
+        }
+        timer->expires_after(std::chrono::milliseconds(hand_over_check));
+        timer->async_wait([check](boost::system::error_code) { (*check)(); });
+    };
+    timer->expires_after(std::chrono::milliseconds(hand_over_check * 10));
+    timer->async_wait([check](boost::system::error_code) { (*check)(); });
+}
+
+void job_control::stop() {
+    if (std::exchange(stopped_, true))
+        return;
+    stopping_ = true;
+    tick_timer_.cancel();
+    round_timer_.cancel();
+    router_->stop();
+    links_->stop();
+    server_->stop();
+    admin_->stop();
+    for (auto& [address, pools] : pools_) {
+        pools.holds->stop();
+        pools.orders->stop();
+    }
+    if (machines_)
+        machines_->stop();
+    log_->stop();
+}
+
+// From a node that called this one.
+void job_control::handle_link(const std::shared_ptr<wire::connection>& peer,
+                              wire::message&& value) {
+    if (const auto* request = std::get_if<wire::call>(&value)) {
+        const bool taken = handle_call(*request, [peer](const wire::call_reply& reply) {
+            peer->send(reply);
+        });
+        if (!taken) {
+            wire::call_reply declined;
+            declined.id = request->id;
+            peer->send(declined);
+        }
+        return;
+    }
+    if (peer->peer().role != wire::node_role::controld)
+        return;
+    const auto& node = peer->peer().node;
+    if (const auto* inner = std::get_if<consensus::message>(&value)) {
+        log_->receive(node, *inner);
+        check_leadership();
+    } else if (const auto* join = std::get_if<wire::join_request>(&value)) {
+        links_->connect(node);
+        log_->request_join(node, join->replica_id);
+    }
+}
+
+// From a node that this one called.
+void job_control::handle_answer(const std::string& node, wire::message&& value) {
+    if (const auto* reply = std::get_if<wire::call_reply>(&value))
+        return router_->observe(node, *reply);
+    const auto* known = std::get_if<wire::directory>(&value);
+    if (!known)
+        return;
+    router_->observe(node, *known);
+    if (known->leader != node)
+        return;
+    for (const auto& item : known->members)
+        links_->connect(item.node);
+    log_->observe_members(known->term, known->members);
+}
+
+void job_control::apply(const consensus::entry& item) {
+    const auto value = decode_command(item.data);
+    outcome result;
+    if (value)
+        result = table_.apply(*value, item.term);
+    else
+        log_event(log_level::error, "command_unreadable").field("index", std::uint64_t{item.index});
+    const auto range = waiting_.equal_range(item.index);
+    std::vector<waiting_command> done;
+    for (auto it = range.first; it != range.second; ++it)
+        done.push_back(std::move(it->second));
+    waiting_.erase(range.first, range.second);
+    for (const auto& one : done)
+        one.done(one.term == item.term ? result : std::nullopt);
+}
+
+bool job_control::propose(std::vector<operation> operations,
+                          std::function<void(const outcome&)> done) {
+    command value;
+    value.at = wall_clock_ms();
+    value.operations = std::move(operations);
+    const auto result = log_->propose(encode(value));
+    const auto* place = std::get_if<consensus::proposed>(&result);
+    if (!place) {
+        log_event(log_level::warning, "proposal_refused")
+            .field("reason", to_name(std::get<consensus::refusal>(result)));
+        return false;
+    }
+    waiting_.emplace(place->index, waiting_command{place->term, std::move(done)});
+    return true;
+}
+
+void job_control::check_leadership() {
+    const bool serving = !stopping_ && log_->serving();
+    const bool leads = log_->role() == consensus::replica_role::leader;
+    if (!leads && controller_.leading()) {
+        log_event(log_level::warning, "leadership_lost").field("term", log_->term());
+        controller_.stop_leading();
+        // Their fate is decided by the next leader; whoever waits asks again there.
+        waiting_.clear();
+    }
+    if (serving && !controller_.leading()) {
+        log_event(log_level::info, "leadership_taken")
+            .field("term", log_->term())
+            .field("commit", std::uint64_t{log_->commit_index()})
+            .field("version", table_.config().version)
+            .field("open_jobs", std::uint64_t{table_.open_jobs().size()});
+        controller_.lead(log_->term(), clock_.now());
+        publish_directory();
+        router_->retry_waiting();
+        request_round();
+    }
+    was_serving_ = serving;
+}
+
+void job_control::publish_directory() {
+    wire::directory value;
+    const bool serving = log_->serving();
+    value.leader = serving ? settings_.links : log_->leader();
+    if (log_->role() == consensus::replica_role::leader && !serving)
+        value.leader.clear();
+    value.term = log_->term();
+    if (serving)
+        value.members = log_->members().members;
+    directory_sent_at_ = clock_.now();
+    router_->observe(settings_.links, value);
+    links_->broadcast(value);
+}
+
+void job_control::connect_members() {
+    std::set<std::string> wanted(settings_.seeds.begin(), settings_.seeds.end());
+    for (const auto& item : log_->members().members)
+        wanted.insert(item.node);
+    for (const auto& node : wanted)
+        links_->connect(node);
+}
+
+void job_control::schedule_tick() {
+    tick_timer_.expires_after(std::chrono::milliseconds(tick_interval));
+    tick_timer_.async_wait([this](boost::system::error_code error) {
+        if (error || stopped_)
+            return;
+        check_leadership();
+        const auto now = clock_.now();
+        if (now - directory_sent_at_ >= directory_interval) {
+            publish_directory();
+            connect_members();
+            drop_unused_pools();
+        }
+        if (!log_->is_voter() && now - join_asked_at_ >= join_interval &&
+            !router_->leader().empty()) {
+            join_asked_at_ = now;
+            links_->send(router_->leader(), wire::join_request{log_->id()});
+        }
+        if (was_serving_)
+            run_round();
+        schedule_tick();
+    });
+}
+
+// Requests.
+
+bool job_control::handle_call(const wire::call& request, const reply_handler& reply) {
+    check_leadership();
+    if (!was_serving_)
+        return false;
+    if (request.origin == wire::call_origin::caller)
+        handle_caller(request, reply);
+    else
+        handle_fleet(request, reply);
+    return true;
+}
+
+void job_control::handle_caller(const wire::call& request, const reply_handler& reply) {
+    if (table_.config().version == 0)
+        return reply(answer(request.id, status_unavailable));
+    const auto path = without_query(request.target);
+    const auto* queue = table_.config().route(without_port(request.host), path);
+    if (!queue)
+        return reply(answer(request.id, status_not_found));
+    const std::string id(path.substr(queue->prefix.size()));
+    if (request.method == "GET" && id.empty())
+        return reply(answer(request.id, status_ok,
+                            protocol_.encode_pending(controller_.pending(queue->name))));
+    if (!protocol_.is_job_id(id))
+        return reply(answer(request.id, status_bad_request));
+    if (request.method == "POST")
+        return submit(*queue, id, request, reply);
+    if (request.method == "DELETE")
+        return cancel(id, request, reply);
+    const auto* item = table_.find_job(id);
+    if (!item)
+        return reply(answer(request.id, status_gone));
+    reply(answer(request.id, status_ok, protocol_.encode_job_state(item->state)));
+}
+
+void job_control::submit(const queue_config& queue, const std::string& id,
+                         const wire::call& request, const reply_handler& reply) {
+    if (table_.find_job(id))
+        return reply(answer(request.id, status_ok));
+    std::string reason;
+    auto spec = protocol_.decode_job(request.body, reason);
+    if (!spec) {
+        log_event(log_level::info, "job_invalid").field("job", id).field("reason", reason);
+        return reply(answer(request.id, status_bad_request));
+    }
+    if (queue.needs_placement_advice) {
+        log_event(log_level::warning, "job_refused")
+            .field("job", id)
+            .field("queue", queue.name)
+            .field("reason", "queues with placement advice are not supported");
+        return reply(answer(request.id, status_unavailable));
+    }
+    const auto load = controller_.load_of(queue.pool);
+    const auto decision = controller_.consider(queue, *spec);
+    log_event(log_level::info, decision.accepted ? "job_accepted" : "job_refused")
+        .field("job", id)
+        .field("queue", queue.name)
+        .field("version", table_.config().version)
+        .field("work_left", load.work_left)
+        .field("capacity", load.capacity)
+        .field("retry_after_ms", decision.retry_after);
+    metrics_.add("clementine_jobs",
+                 {{"queue", queue.name}, {"outcome", decision.accepted ? "accepted" : "refused"}});
+    if (!decision.accepted)
+        return reply(answer(request.id, status_unavailable, {}, decision.retry_after));
+    submit_job op{id, queue.name, queue.pool, queue.attempts, std::move(*spec)};
+    const bool proposed =
+        propose({std::move(op)}, [this, reply, request_id = request.id](const outcome& result) {
+            if (!result)
+                return; // the next leader is asked
+            reply(answer(request_id, status_ok));
+            request_round();
+        });
+    if (!proposed)
+        reply(answer(request.id, status_unavailable, {}, 1'000));
+}
+
+void job_control::cancel(const std::string& id, const wire::call& request,
+                         const reply_handler& reply) {
+    const auto* item = table_.find_job(id);
+    if (!item)
+        return reply(answer(request.id, status_gone));
+    if (item->ended())
+        return reply(answer(request.id, status_ok));
+    log_event(log_level::info, "job_cancelled").field("job", id);
+    const bool proposed = propose({cancel_job{id}},
+                                  [this, reply, request_id = request.id](const outcome& result) {
+                                      if (!result)
+                                          return;
+                                      reply(answer(request_id, status_ok));
+                                      request_round();
+                                  });
+    if (!proposed)
+        reply(answer(request.id, status_unavailable));
+}
+
+void job_control::handle_fleet(const wire::call& request, const reply_handler& reply) {
+    const auto decoded = protocol_.decode_control(
+        {request.method, request.host, std::string(without_query(request.target)), request.body});
+    std::visit([&](const auto& item) { handle(item, request.id, reply); }, decoded);
+}
+
+void job_control::handle(const announce_worker& request, std::uint64_t id,
+                         const reply_handler& reply) {
+    controller_.observe(request.report, clock_.now());
+    request_round();
+    reply(answer(id, status_ok, "{}"));
+}
+
+void job_control::handle(const worker_leaves& request, std::uint64_t id,
+                         const reply_handler& reply) {
+    controller_.observe_leave(request.id, clock_.now());
+    request_round();
+    reply(answer(id, status_ok));
+}
+
+void job_control::handle(const apply_configuration& request, std::uint64_t id,
+                         const reply_handler& reply) {
+    const auto version = request.value.version;
+    if (version <= table_.config().version) {
+        log_event(log_level::info, "configuration_kept")
+            .field("offered", version)
+            .field("version", table_.config().version);
+        return reply(answer(id, status_ok));
+    }
+    const bool proposed =
+        propose({put_configuration{request.value}},
+                [this, reply, id, version](const outcome& result) {
+                    if (!result)
+                        return;
+                    log_event(log_level::info, "configuration_in_force").field("version", version);
+                    reply(answer(id, status_ok));
+                    request_round();
+                });
+    if (!proposed)
+        reply(answer(id, status_unavailable));
+}
+
+void job_control::handle(const read_configuration&, std::uint64_t id, const reply_handler& reply) {
+    if (table_.config().version == 0)
+        return reply(answer(id, status_unavailable));
+    reply(answer(id, status_ok, table_.config().document));
+}
+
+void job_control::handle(const start_wave& request, std::uint64_t id, const reply_handler& reply) {
+    log_event(log_level::info, "wave_ordered")
+        .field("wave", request.order.number)
+        .field("machines", std::uint64_t{request.order.machines.size()})
+        .field("cap", request.order.cap);
+    const bool proposed = propose({put_wave{request.order}},
+                                  [this, reply, id](const outcome& result) {
+                                      if (!result)
+                                          return;
+                                      reply(answer(id, status_ok));
+                                      request_round();
+                                  });
+    if (!proposed)
+        reply(answer(id, status_unavailable));
+}
+
+void job_control::handle(const read_wave& request, std::uint64_t id, const reply_handler& reply) {
+    const auto at = table_.waves().find(request.number);
+    if (at == table_.waves().end())
+        return reply(answer(id, status_not_found));
+    reply(answer(id, status_ok, protocol_.encode_wave_state(at->second.completed())));
+}
+
+void job_control::handle(const malformed_request& request, std::uint64_t id,
+                         const reply_handler& reply) {
+    log_event(log_level::warning, "request_malformed").field("reason", request.reason);
+    reply(answer(id, status_bad_request));
+}
+
+void job_control::handle(const unknown_request&, std::uint64_t id, const reply_handler& reply) {
+    reply(answer(id, status_not_found));
+}
+
+void job_control::handle_http(const http_request& request, const http_respond& respond) {
+    wire::call call;
+    call.origin = wire::call_origin::fleet;
+    call.method = std::string(request.method_string());
+    call.host = std::string(request[http::field::host]);
+    call.target = std::string(request.target());
+    call.body = request.body();
+    router_->route(std::move(call), control_limits, [respond](const routed_reply& result) {
+        auto status = result.reply.status;
+        if (result.outcome == route_outcome::not_run)
+            status = status_unavailable;
+        else if (result.outcome == route_outcome::unknown)
+            status = status_gateway_timeout;
+        respond(make_response(static_cast<http::status>(status), result.reply.body,
+                              "application/json"));
+    });
+}
+
+void job_control::handle_admin(const http_request& request, const http_respond& respond) {
+    if (request.target() != "/metrics")
+        return respond(make_response(http::status::not_found, "", "text/plain"));
+    metrics_.set("clementine_replica_leader", {}, was_serving_ ? 1 : 0);
+    metrics_.set("clementine_replica_term", {}, static_cast<double>(log_->term()));
+    metrics_.set("clementine_replica_commit_index", {},
+                 static_cast<double>(log_->commit_index()));
+    metrics_.set("clementine_log_sync_ms", {}, static_cast<double>(log_->last_sync_took()));
+    metrics_.set("clementine_configuration_version", {},
+                 static_cast<double>(table_.config().version));
+    metrics_.set("clementine_open_jobs", {}, static_cast<double>(table_.open_jobs().size()));
+    metrics_.set("clementine_workers", {}, static_cast<double>(controller_.workers().size()));
+    respond(make_response(http::status::ok, metrics_.render(), "text/plain; version=0.0.4"));
+}
+
+// Decisions and orders.
+
+void job_control::request_round() {
+    if (std::exchange(round_due_, true))
+        return;
+    round_timer_.expires_after(std::chrono::milliseconds(round_delay));
+    round_timer_.async_wait([this](boost::system::error_code error) {
+        round_due_ = false;
+        if (!error && !stopped_)
+            run_round();
+    });
+}
+
+void job_control::run_round() {
+    check_leadership();
+    if (!was_serving_)
+        return;
+    auto made = controller_.decide(clock_.now(), wall_clock_ms());
+    auto orders = std::move(made.orders);
+    made.orders.clear();
+    if (!made.log.empty() || !made.ends.empty()) {
+        auto operations = made.log;
+        const bool proposed = propose(std::move(operations), [this, made](const outcome& result) {
+            if (!result)
+                return;
+            controller_.committed(made, *result, clock_.now());
+            request_round();
+        });
+        if (!proposed)
+            controller_.rejected(made, clock_.now());
+    }
+    for (auto& item : orders)
+        send(std::move(item));
+}
+
+http_pool& job_control::pool_for(const std::string& address, bool hold) {
+    auto& pools = pools_[address];
+    if (!pools.holds) {
+        pools.holds = std::make_shared<http_pool>(loop_, clock_, to_endpoint(address), 1);
+        pools.orders =
+            std::make_shared<http_pool>(loop_, clock_, to_endpoint(address), order_connections);
+    }
+    pools.used_at = clock_.now();
+    return hold ? *pools.holds : *pools.orders;
+}
+
+void job_control::drop_unused_pools() {
+    std::erase_if(pools_, [this](auto& item) {
+        if (clock_.now() - item.second.used_at < pool_memory)
+            return false;
+        item.second.holds->stop();
+        item.second.orders->stop();
+        return true;
+    });
+}
+
+void job_control::send(order value) {
+    if (std::holds_alternative<list_machines_order>(value) ||
+        std::holds_alternative<move_order>(value) || std::holds_alternative<upkeep_order>(value))
+        return send_machine_order(std::move(value), {}, {});
+    const auto encoded = protocol_.encode_order(value, settings_.node, {});
+    const auto* hold = std::get_if<hold_order>(&value);
+    const auto& address = std::visit(
+        [](const auto& item) -> std::string {
+            if constexpr (requires { item.address; })
+                return item.address;
+            else
+                return {};
+        },
+        value);
+    const auto limit = hold ? hold->wait + hold_slack : order_limit;
+    pool_for(address, hold != nullptr)
+        .request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
+                 [this, value = std::move(value)](const http_result& exchange) {
+                     order_result result;
+                     if (exchange.failure)
+                         result.answer = *exchange.failure == call_failure::refused
+                                             ? order_answer::not_sent
+                                             : order_answer::no_answer;
+                     else
+                         result = protocol_.decode_answer(value, exchange.status, exchange.body);
+                     observe(value, result, exchange);
+                 });
+}
+
+void job_control::send_machine_order(order value, const std::string& page,
+                                     std::vector<machine_report> machines) {
+    if (!machines_)
+        return;
+    const auto encoded = protocol_.encode_order(value, settings_.node, page);
+    machines_->request(
+        {encoded.method, encoded.target, encoded.headers, encoded.body}, order_limit,
+        [this, value = std::move(value),
+         machines = std::move(machines)](const http_result& exchange) mutable {
+            order_result result;
+            if (exchange.failure)
+                result.answer = *exchange.failure == call_failure::refused ? order_answer::not_sent
+                                                                           : order_answer::no_answer;
+            else
+                result = protocol_.decode_answer(value, exchange.status, exchange.body);
+            machines.insert(machines.end(), result.machines.begin(), result.machines.end());
+            if (result.answer == order_answer::done && !result.next_page.empty())
+                return send_machine_order(std::move(value), result.next_page, std::move(machines));
+            result.machines = std::move(machines);
+            observe(value, result, exchange);
+        });
+}
+
+void job_control::observe(const order& value, const order_result& result,
+                          const http_result& exchange) {
+    if (stopped_ || !controller_.leading())
+        return;
+    const auto now = exchange.received_at;
+    if (const auto* hold = std::get_if<hold_order>(&value))
+        controller_.observe(*hold, result.answer, result.lists, exchange.sent_at, now);
+    else if (const auto* start = std::get_if<start_order>(&value))
+        controller_.observe(*start, result.answer, now);
+    else if (const auto* stop = std::get_if<stop_order>(&value))
+        controller_.observe(*stop, result.answer, now);
+    else if (const auto* pace = std::get_if<pace_order>(&value))
+        controller_.observe(*pace, result.answer, now);
+    request_round();
+}
+
+} // namespace clementine::control
--- /dev/null
+++ b/src/control/job_control.h
@@ -0,0 +1,145 @@
+// The control node's part in running jobs: keeps the job table in the replicated log, answers
+// callers, operators and workers, and carries out the decisions while it leads. One Asio loop.
+#pragma once
+
+#include "base/metrics.h"
+#include "control/cluster_links.h"
+#include "control/http_pool.h"
+#include "control/http_server.h"
+#include "control/leader_router.h"
+#include "control/log_node.h"
+#include "workload/controller.h"
+#include "workload/fleet_protocol.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace clementine::control {
+
+struct job_control_settings {
+    std::string node;              // name of this node, holder of machine orders
+    std::string links;             // IP:port for links between nodes
+    std::string listen;            // IP:port for operators and workers
+    std::string admin;             // IP:port for metrics
+    std::string machines;          // IP:port of the platform's machine API; empty: none
+    std::string availability_zone;
+    std::string folder;
+    std::vector<std::string> seeds; // link addresses of some control nodes
+    bool first_start = false;
+    std::size_t tolerated_losses = 1;
+    workload::controller_settings decisions;
+};
+
+class job_control {
+  public:
+    job_control(boost::asio::io_context& loop, job_control_settings settings,
+                const workload::fleet_protocol& protocol, consensus::file_system& files,
+                const clock_source& clock, std::function<void(const std::string&)> failed);
+    job_control(const job_control&) = delete;
+    job_control& operator=(const job_control&) = delete;
+    ~job_control();
+
+    // Starts everything; the reason if that is not possible.
+    std::string start();
+    // The settings name other seeds.
+    void set_seeds(const std::vector<std::string>& seeds);
+    // Hands leadership over, then calls `stopped`.
+    void stop_gracefully(std::function<void()> stopped);
+    void stop();
+
+  private:
+    using reply_handler = leader_router::reply_handler;
+    // Nothing: another leader took over, and the fate of the command is unknown here.
+    using outcome = std::optional<std::vector<bool>>;
+    struct waiting_command {
+        consensus::term_t term = 0;
+        std::function<void(const outcome&)> done;
+    };
+
+    // Links, membership and the log.
+    void create_links();
+    std::string listen();
+    void handle_link(const std::shared_ptr<wire::connection>& peer, wire::message&& value);
+    void handle_answer(const std::string& node, wire::message&& value);
+    void apply(const consensus::entry& item);
+    void publish_directory();
+    void connect_members();
+    bool propose(std::vector<workload::operation> operations,
+                 std::function<void(const outcome&)> done);
+    void check_leadership();
+    void schedule_tick();
+
+    // Requests.
+    bool handle_call(const wire::call& request, const reply_handler& reply);
+    void handle_caller(const wire::call& request, const reply_handler& reply);
+    void submit(const workload::queue_config& queue, const std::string& id,
+                const wire::call& request, const reply_handler& reply);
+    void cancel(const std::string& id, const wire::call& request, const reply_handler& reply);
+    void handle_fleet(const wire::call& request, const reply_handler& reply);
+    void handle(const workload::announce_worker& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle(const workload::worker_leaves& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle(const workload::apply_configuration& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle(const workload::read_configuration& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle(const workload::start_wave& request, std::uint64_t id, const reply_handler& reply);
+    void handle(const workload::read_wave& request, std::uint64_t id, const reply_handler& reply);
+    void handle(const workload::malformed_request& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle(const workload::unknown_request& request, std::uint64_t id,
+                const reply_handler& reply);
+    void handle_http(const http_request& request, const http_respond& respond);
+    void handle_admin(const http_request& request, const http_respond& respond);
+
+    // Decisions and orders.
+    void request_round();
+    void run_round();
+    void send(workload::order value);
+    void send_machine_order(workload::order value, const std::string& page,
+                            std::vector<workload::machine_report> machines);
+    void observe(const workload::order& value, const workload::order_result& result,
+                 const http_result& exchange);
+    http_pool& pool_for(const std::string& address, bool hold);
+    void drop_unused_pools();
+
+    boost::asio::io_context& loop_;
+    job_control_settings settings_;
+    const workload::fleet_protocol& protocol_;
+    const clock_source& clock_;
+    std::function<void(const std::string&)> failed_;
+    metrics metrics_;
+    workload::job_table table_;
+    workload::controller controller_;
+    std::unique_ptr<cluster_links> links_;
+    std::unique_ptr<leader_router> router_;
+    std::unique_ptr<log_node> log_;
+    std::shared_ptr<http_server> server_;
+    std::shared_ptr<http_server> admin_;
+    std::shared_ptr<http_pool> machines_;
+    struct worker_pools {
+        std::shared_ptr<http_pool> holds;
+        std::shared_ptr<http_pool> orders;
+        time_ms used_at{0};
+    };
+    std::map<std::string, worker_pools> pools_;
+    std::multimap<consensus::index_t, waiting_command> waiting_;
+    boost::asio::steady_timer tick_timer_;
+    boost::asio::steady_timer round_timer_;
+    bool round_due_ = false;
+    bool was_serving_ = false;
+    time_ms directory_sent_at_{0};
+    time_ms join_asked_at_{0};
+    bool stopping_ = false;
+    bool stopped_ = false;
+};
+
+} // namespace clementine::control
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -470,6 +470,67 @@
     return out;
 }
 
+void write(schema::Message::Builder root, const call& value) {
+    auto out = root.initCall();
+    out.setId(value.id);
+    out.setOrigin(static_cast<schema::CallOrigin>(value.origin));
+    out.setMethod(value.method);
+    out.setHost(value.host);
+    out.setTarget(value.target);
+    out.setBody(to_data(value.body));
+}
+
+call read(schema::Call::Reader in) {
+    call out;
+    out.id = in.getId();
+    out.origin = from_schema<call_origin>(in.getOrigin());
+    out.method = from_text(in.getMethod());
+    out.host = from_text(in.getHost());
+    out.target = from_text(in.getTarget());
+    out.body = from_data(in.getBody());
+    return out;
+}
+
+void write(schema::Message::Builder root, const call_reply& value) {
+    auto out = root.initCallReply();
+    out.setId(value.id);
+    out.setHandled(value.handled);
+    out.setStatus(static_cast<std::uint16_t>(value.status));
+    out.setRetryAfterMs(static_cast<std::uint32_t>(value.retry_after));
+    out.setBody(to_data(value.body));
+}
+
+call_reply read(schema::CallReply::Reader in) {
+    call_reply out;
+    out.id = in.getId();
+    out.handled = in.getHandled();
+    out.status = in.getStatus();
+    out.retry_after = in.getRetryAfterMs();
+    out.body = from_data(in.getBody());
+    return out;
+}
+
+void write(schema::Message::Builder root, const directory& value) {
+    auto out = root.initDirectory();
+    out.setLeader(value.leader);
+    out.setTerm(value.term);
+    auto members = out.initMembers(list_size(value.members));
+    for (unsigned i = 0; i < members.size(); ++i) {
+        members[i].setId(value.members[i].id);
+        members[i].setNode(value.members[i].node);
+        members[i].setVoter(value.members[i].voter);
+    }
+}
+
+directory read(schema::Directory::Reader in) {
+    directory out;
+    out.leader = from_text(in.getLeader());
+    out.term = in.getTerm();
+    for (const auto item : in.getMembers())
+        out.members.push_back({item.getId(), from_text(item.getNode()), item.getVoter()});
+    return out;
+}
+
 void write(schema::Message::Builder root, const join_request& value) {
     root.initJoinRequest().setReplicaId(value.replica_id);
 }
@@ -510,6 +571,12 @@
         return join_request{in.getJoinRequest().getReplicaId()};
     case schema::Message::DEMAND_REPORT:
         return read(in.getDemandReport());
+    case schema::Message::CALL:
+        return read(in.getCall());
+    case schema::Message::CALL_REPLY:
+        return read(in.getCallReply());
+    case schema::Message::DIRECTORY:
+        return read(in.getDirectory());
     }
     throw malformed_message{};
 }
--- a/src/wire/messages.capnp
+++ b/src/wire/messages.capnp
@@ -23,6 +23,9 @@
     homeRelease @13 :HomeRelease;
     joinRequest @14 :JoinRequest;
     demandReport @15 :DemandReport;
+    call @16 :Call;
+    callReply @17 :CallReply;
+    directory @18 :Directory;
   }
 }
 
@@ -273,3 +276,38 @@
 struct DemandReport {
   demand @0 :List(ServiceDemand);
 }
+
+# A request that a node passes on to the leading control node; messages.h describes the fields.
+struct Call {
+  id @0 :UInt64;
+  origin @1 :CallOrigin;
+  method @2 :Text;
+  host @3 :Text;
+  target @4 :Text;
+  body @5 :Data;
+}
+
+enum CallOrigin {
+  caller @0;
+  fleet @1;
+}
+
+struct CallReply {
+  id @0 :UInt64;
+  handled @1 :Bool;
+  status @2 :UInt16;
+  retryAfterMs @3 :UInt32;
+  body @4 :Data;
+}
+
+struct Directory {
+  leader @0 :Text;
+  term @1 :UInt64;
+  members @2 :List(DirectoryMember);
+}
+
+struct DirectoryMember {
+  id @0 :UInt64;
+  node @1 :Text;
+  voter @2 :Bool;
+}
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -124,9 +124,44 @@
     std::uint64_t replica_id = 0;
 };
 
+// Who sent a request in the first place; the two have separate name spaces of paths.
+enum class call_origin { caller, fleet };
+
+inline constexpr name_table<2> call_origin_names{"caller", "fleet"};
+constexpr const auto& names_of(call_origin) {
+    return call_origin_names;
+}
+
+// An HTTP request that a node passes on to the leading control node.
+struct call {
+    std::uint64_t id = 0; // unique for the sending process
+    call_origin origin = call_origin::caller;
+    std::string method;
+    std::string host; // Host header
+    std::string target;
+    std::string body;
+};
+
+// Answer to a call. Not `handled` means that the receiver does not lead and has done nothing.
+struct call_reply {
+    std::uint64_t id = 0;
+    bool handled = false;
+    std::uint32_t status = 0; // HTTP status
+    time_ms retry_after{0};   // for refusals; 0 if there is no advice
+    std::string body;
+};
+
+// What a control node knows about the replicas, sent to all its links at intervals.
+struct directory {
+    std::string leader; // node name of the leader, empty if unknown
+    std::uint64_t term = 0;
+    std::vector<consensus::member> members;
+};
+
 using message =
     std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state, version_report,
                  routing::entry_tick, claim_request, claim_reply, claim_release, claim_outcome,
-                 claim_sync, home_release, join_request, demand_report>;
+                 claim_sync, home_release, join_request, demand_report,
+                 call, call_reply, directory>;
 
 } // namespace clementine::wire
--- /dev/null
+++ b/src/workload/admission.cpp
@@ -0,0 +1,81 @@
+#include "workload/admission.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace clementine::workload {
+
+namespace {
+
+// Part of a job's slack that waiting may use up. The rest is for estimates that are off by half
+// and for the time that orders and reports take.
+constexpr double usable_slack = 0.8;
+constexpr time_ms min_retry_after{1'000};
+
+} // namespace
+
+admission admit(const admission_input& input) {
+    if (input.lasting || input.scheduled)
+        return {true, 0};
+    const auto slack = static_cast<double>(input.target_latency) +
+                       (input.stretch - 1.0) * static_cast<double>(input.chain);
+    const auto bearable = static_cast<time_ms>(usable_slack * slack);
+    if (input.wait <= bearable)
+        return {true, 0};
+    return {false, std::max(min_retry_after, input.wait - bearable)};
+}
+
+time_ms longest_chain(const job_spec& spec, double rate) {
+    std::vector<time_ms> ends;
+    time_ms longest = 0;
+    for (const auto& step : spec.steps) {
+        time_ms begin = 0;
+        for (const auto earlier : step.depends_on)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + static_cast<time_ms>(rate * static_cast<double>(step.estimate)));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+std::int64_t estimated_work(const job_spec& spec, double rate) {
+    double sum = 0;
+    for (const auto& step : spec.steps)
+        sum += static_cast<double>(step.count) * static_cast<double>(step.need.cpu) *
+               static_cast<double>(step.estimate);
+    return static_cast<std::int64_t>(sum * rate);
+}
+
+time_ms remaining_chain(const job& item, double rate) {
+    time_ms longest = 0;
+    for (const auto& in : item.occurrences) {
+        std::vector<time_ms> ends;
+        for (std::size_t i = 0; i < item.spec.steps.size(); ++i) {
+            const auto& step = item.spec.steps[i];
+            time_ms begin = 0;
+            for (const auto earlier : step.depends_on)
+                begin = std::max(begin, ends[earlier]);
+            const bool over = in.steps[i].done == step.count;
+            ends.push_back(over ? begin
+                                : begin + static_cast<time_ms>(
+                                              rate * static_cast<double>(step.estimate)));
+            longest = std::max(longest, ends.back());
+        }
+    }
+    return longest;
+}
+
+std::int64_t remaining_work(const job& item, double rate) {
+    double sum = 0;
+    for (const auto& in : item.occurrences) {
+        for (std::size_t i = 0; i < item.spec.steps.size(); ++i) {
+            const auto& step = item.spec.steps[i];
+            const auto left = step.count - in.steps[i].done;
+            sum += static_cast<double>(left) * static_cast<double>(step.need.cpu) *
+                   static_cast<double>(step.estimate);
+        }
+    }
+    return static_cast<std::int64_t>(sum * rate);
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/controller.cpp
@@ -0,0 +1,861 @@
+#include "workload/controller.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace clementine::workload {
+
+namespace {
+
+// A start that went unanswered is repeated this often before it is barred by a stop.
+constexpr int max_start_attempts = 3;
+// A stop that went unanswered is repeated after this time.
+constexpr time_ms stop_retry{300};
+// Longest wait of a hold for an end; the platform allows 2 s.
+constexpr time_ms hold_wait{1'200};
+// Workers with lasting tasks are asked more often, to see their response times.
+constexpr time_ms serving_hold_wait{500};
+constexpr time_ms hold_retry{150};
+// Ends that one answer can carry; the list may go on behind them.
+constexpr std::size_t ends_per_answer = 500;
+// A run without progress for this long, over several lists, stands still.
+constexpr time_ms stalled_after{2'000};
+constexpr int stalled_lists = 3;
+// Failed runs in a row, of different jobs, after which a worker gets no work for a while.
+constexpr int failures_to_shun = 3;
+constexpr time_ms first_exclusion{1'500};
+constexpr time_ms longest_exclusion{8'000};
+// Weight of a new observation in the ratio of actual to estimated time.
+constexpr double estimate_weight = 0.05;
+constexpr double lowest_rate = 0.4;
+constexpr double highest_rate = 2.5;
+// A worker that said good-bye and refuses connections has ended.
+constexpr int refusals_to_end = 2;
+// A worker that has not announced itself for this long is dropped once its leases are over.
+constexpr time_ms silent_worker_limit{20'000};
+
+std::string label_at(const std::vector<std::string>& labels, std::size_t index) {
+    return index < labels.size() ? labels[index] : std::string();
+}
+
+} // namespace
+
+controller::controller(const job_table& table, controller_settings settings)
+    : table_(table), settings_(std::move(settings)) {}
+
+void controller::lead(std::uint64_t fence, time_ms now) {
+    stop_leading();
+    fence_ = fence;
+    lead_since_ = now;
+    inherit_runs(now);
+}
+
+void controller::stop_leading() {
+    fence_ = 0;
+    workers_.clear();
+    at_address_.clear();
+    old_lives_.clear();
+    starting_.clear();
+    failed_on_.clear();
+    out_ = {};
+    retry_ = {};
+}
+
+// Runs that the log knows are taken over with the lease that an earlier leader may have granted.
+void controller::inherit_runs(time_ms now) {
+    const auto lease_end =
+        now + static_cast<time_ms>(std::ceil(static_cast<double>(worker_lease) / slow_clock_rate));
+    for (const auto& id : table_.open_jobs()) {
+        const auto& item = *table_.find_job(id);
+        for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
+            for (std::uint32_t s = 0; s < item.spec.steps.size(); ++s) {
+                const auto& tasks = item.occurrences[k].steps[s].tasks;
+                for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+                    if (tasks[i].phase != task_phase::assigned)
+                        continue;
+                    const auto& ref = tasks[i].worker;
+                    auto [at, added] = workers_.try_emplace(ref.id);
+                    auto* on = &at->second;
+                    if (!added && on->ref.born < ref.born)
+                        old_lives_.push_back(std::exchange(*on, {}));
+                    else if (!added && on->ref.born > ref.born)
+                        on = &old_lives_.emplace_back();
+                    on->ref = ref;
+                    on->address = tasks[i].address;
+                    on->inherited_lease_end = lease_end;
+                    live_run run;
+                    run.task = {id, k, s, i};
+                    run.run = tasks[i].run;
+                    run.need = occupied(item.spec.steps[s]);
+                    run.lasting = item.spec.steps[s].lasting;
+                    run.filler = item.spec.steps[s].filler;
+                    run.inherited = true;
+                    run.stage = run_stage::ordered;
+                    run.since = now;
+                    run.checkpoint = tasks[i].checkpoint;
+                    on->add(std::move(run));
+                }
+            }
+        }
+    }
+}
+
+worker* controller::worker_of(const worker_ref& ref) {
+    const auto at = workers_.find(ref.id);
+    return at == workers_.end() || at->second.ref != ref ? nullptr : &at->second;
+}
+
+// The run is known not to run any more.
+void controller::lose(worker& on, const run_key& key) {
+    const auto at = on.runs.find(key);
+    if (at == on.runs.end())
+        return;
+    if (!at->second.foreign && at->second.stage != run_stage::logging) {
+        out_.log.emplace_back(lose_run{key.first, key.second, at->second.checkpoint});
+        log_event(log_level::info, "run_lost")
+            .field("job", key.first.job)
+            .field("step", key.first.step)
+            .field("index", key.first.index)
+            .field("run", key.second)
+            .field("worker", on.ref.id);
+    }
+    on.remove(key);
+}
+
+// All runs of this life have ended with it.
+void controller::forget_life(worker& gone, const char* reason) {
+    log_event(log_level::info, "worker_gone")
+        .field("worker", gone.ref.id)
+        .field("born", gone.ref.born)
+        .field("reason", reason)
+        .field("runs", std::uint64_t{gone.runs.size()});
+    while (!gone.runs.empty()) {
+        const auto key = gone.runs.begin()->first;
+        lose(gone, key);
+    }
+}
+
+void controller::drop_worker(const std::string& id) {
+    const auto at = workers_.find(id);
+    if (at == workers_.end())
+        return;
+    const auto address = at_address_.find(at->second.address);
+    if (address != at_address_.end() && address->second == id)
+        at_address_.erase(address);
+    workers_.erase(at);
+}
+
+bool controller::observe(const worker_report& report, time_ms now) {
+    const auto holder = at_address_.find(report.address);
+    if (holder != at_address_.end() && holder->second != report.worker.id) {
+        auto& other = workers_.at(holder->second);
+        if (other.ref.born > report.worker.born)
+            return false;
+        forget_life(other, "address reused");
+        drop_worker(other.ref.id);
+    }
+    auto [at, added] = workers_.try_emplace(report.worker.id);
+    auto& item = at->second;
+    if (!added && item.ref.born > report.worker.born)
+        return false;
+    if (!added && item.ref.born < report.worker.born) {
+        forget_life(item, "started again");
+        at_address_.erase(item.address);
+        item = {};
+        added = true;
+    }
+    if (item.reported && report.sequence <= item.sequence)
+        return true; // out of order: nothing new
+    if (!item.reported)
+        log_event(log_level::info, "worker_known")
+            .field("worker", report.worker.id)
+            .field("born", report.worker.born)
+            .field("pool", report.pool)
+            .field("address", report.address);
+    if (report.draining && !item.draining)
+        log_event(log_level::info, "worker_draining")
+            .field("worker", report.worker.id)
+            .field("sequence", report.sequence)
+            .field("remaining_ms", report.drain_remaining);
+    item.ref = report.worker;
+    item.sequence = report.sequence;
+    item.pool = report.pool;
+    item.address = report.address;
+    item.zone = report.zone;
+    item.kind = label_at(report.labels, 0);
+    item.rack = label_at(report.labels, 1);
+    item.capacity = report.capacity;
+    item.draining = item.draining || report.draining;
+    item.reported = true;
+    item.reported_at = now;
+    if (!item.contacted && item.clock_seen_at == 0) {
+        item.clock = report.clock;
+        item.clock_seen_at = now;
+    }
+    at_address_[item.address] = item.ref.id;
+    return true;
+}
+
+void controller::observe_leave(const std::string& id, time_ms now) {
+    const auto at = workers_.find(id);
+    if (at == workers_.end() || at->second.leaving)
+        return;
+    log_event(log_level::info, "worker_leaves").field("worker", id);
+    at->second.leaving = true;
+    at->second.draining = true;
+    at->second.leaving_since = now;
+    at->second.next_hold_at = now;
+}
+
+void controller::observe(const hold_order& order, order_answer answer, const worker_lists& lists,
+                         time_ms sent_at, time_ms received_at) {
+    auto* from = worker_of(order.worker);
+    if (!from || order.fence != fence_)
+        return;
+    from->hold_under_way = false;
+    from->next_hold_at = received_at;
+    if (answer == order_answer::done) {
+        if (from->hold_unanswered)
+            log_event(log_level::info, "worker_answers").field("worker", from->ref.id);
+        from->refused_holds = 0;
+        from->hold_unanswered = false;
+        from->contacted = true;
+        from->clock = lists.clock;
+        from->clock_seen_at = received_at;
+        resolve_listed(*from, lists, sent_at, received_at);
+        take_ends(*from, lists, received_at);
+        resolve_absent(*from, lists, sent_at);
+        return;
+    }
+    from->next_hold_at = received_at + hold_retry;
+    if (!from->hold_unanswered)
+        log_event(log_level::warning, "worker_silent")
+            .field("worker", from->ref.id)
+            .field("answer", to_name(answer))
+            .field("runs", std::uint64_t{from->runs.size()});
+    from->hold_unanswered = true;
+    if (answer == order_answer::not_sent)
+        ++from->refused_holds;
+    if (answer == order_answer::other_life ||
+        (from->leaving && from->refused_holds >= refusals_to_end)) {
+        forget_life(*from, to_name(answer).data());
+        drop_worker(order.worker.id);
+    }
+}
+
+// Takes over what the worker lists as running.
+void controller::resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at,
+                                time_ms now) {
+    for (const auto& item : lists.running) {
+        auto* run = from.find(item.task, item.run);
+        if (!run) {
+            // Known to the log from an earlier time, or not ours at all: stopped by the review.
+            live_run added;
+            added.task = item.task;
+            added.run = item.run;
+            added.stage = run_stage::listed;
+            const auto* owner = table_.find_job(item.task.job);
+            if (owner && item.task.step < owner->spec.steps.size()) {
+                const auto& step = owner->spec.steps[item.task.step];
+                added.need = occupied(step);
+                added.lasting = step.lasting;
+                added.filler = step.filler;
+            }
+            added.foreign = !is_current(from, added);
+            run = &from.add(std::move(added));
+            log_event(log_level::warning, "run_not_expected")
+                .field("job", item.task.job)
+                .field("run", item.run)
+                .field("worker", from.ref.id);
+        }
+        if (run->stage != run_stage::listed) {
+            run->stage = run_stage::listed;
+            run->inherited = false;
+            run->progress_at = now;
+            if (run->confirmed_at == 0)
+                run->confirmed_at = sent_at;
+        }
+        if (item.percent > run->percent) {
+            run->percent = item.percent;
+            run->progress_at = now;
+            run->lists_without_progress = 0;
+        } else {
+            ++run->lists_without_progress;
+            run->percent = item.percent;
+        }
+        if (!item.checkpoint.empty())
+            run->checkpoint = item.checkpoint;
+        run->load = item.load;
+    }
+}
+
+void controller::take_ends(worker& from, const worker_lists& lists, time_ms now) {
+    for (const auto& item : lists.ended) {
+        if (item.number <= from.last_logged)
+            continue;
+        from.last_logged = std::max(from.last_logged, item.number);
+        auto* run = from.find(item.task, item.run);
+        const bool stopped = run && run->stop_wanted;
+        if (item.how == run_end::done) {
+            record_success(from);
+            const auto* owner = table_.find_job(item.task.job);
+            if (run && owner && run->confirmed_at != 0 && item.checkpoint.empty()) {
+                const auto& step = owner->spec.steps[item.task.step];
+                const auto took = static_cast<double>(now - run->confirmed_at);
+                auto& rate = estimate_rates_.try_emplace(owner->queue, 1.0).first->second;
+                if (step.estimate > 0 && !step.lasting)
+                    rate += estimate_weight *
+                            (std::clamp(took / static_cast<double>(step.estimate), lowest_rate,
+                                        highest_rate) -
+                             rate);
+            }
+        } else if (item.how == run_end::failed && !stopped && !(run && run->lasting)) {
+            failed_on_[item.task] = from.ref.id;
+            record_failure(from, item.task.job, now, "failed");
+        }
+        out_.log.emplace_back(end_run{item.task, item.run, item.how, item.checkpoint});
+        if (item.how != run_end::done)
+            log_event(log_level::info, "run_ended")
+                .field("job", item.task.job)
+                .field("step", item.task.step)
+                .field("index", item.task.index)
+                .field("run", item.run)
+                .field("how", to_name(item.how))
+                .field("worker", from.ref.id)
+                .field("number", item.number);
+        from.remove({item.task, item.run});
+        out_.ends.push_back({from.ref, item.number});
+    }
+}
+
+// A run that the worker has confirmed or barred, and that it lists neither as running nor as
+// ended, is not there.
+void controller::resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at) {
+    if (lists.ended.size() >= ends_per_answer)
+        return;
+    std::set<run_key> listed;
+    for (const auto& item : lists.running)
+        listed.emplace(item.task, item.run);
+    std::vector<run_key> absent;
+    for (const auto& [key, run] : from.runs) {
+        if (listed.contains(key) || run.stage == run_stage::logging)
+            continue;
+        // The fence of this call bars all orders of earlier leaders.
+        const bool confirmed = run.confirmed_at != 0 && run.confirmed_at < sent_at;
+        const bool barred = run.stop_answered_at != 0 && run.stop_answered_at < sent_at;
+        if (run.inherited || confirmed || barred)
+            absent.push_back(key);
+    }
+    for (const auto& key : absent)
+        lose(from, key);
+}
+
+void controller::record_success(worker& on) {
+    on.health.failed = 0;
+    on.health.on_probation = false;
+    on.health.shun_for = 0;
+}
+
+void controller::record_failure(worker& on, const std::string& job, time_ms now,
+                                const char* reason) {
+    auto& health = on.health;
+    if (health.last_failed_job == job && !health.on_probation)
+        return; // perhaps the job's own fault
+    health.last_failed_job = job;
+    ++health.failed;
+    if (health.failed < failures_to_shun && !health.on_probation)
+        return;
+    health.shun_for = std::clamp(health.shun_for * 2, first_exclusion, longest_exclusion);
+    health.shunned_until = now + health.shun_for;
+    health.on_probation = true;
+    log_event(log_level::warning, "worker_shunned")
+        .field("worker", on.ref.id)
+        .field("reason", reason)
+        .field("failures", health.failed)
+        .field("for_ms", health.shun_for);
+}
+
+void controller::observe(const start_order& order, order_answer answer, time_ms now) {
+    auto* on = worker_of(order.worker);
+    if (!on || order.fence != fence_)
+        return;
+    if (answer == order_answer::other_life) {
+        forget_life(*on, "another life answered");
+        drop_worker(order.worker.id);
+        return;
+    }
+    auto* run = on->find(order.task, order.run);
+    if (!run)
+        return;
+    run->order_under_way = false;
+    if (answer == order_answer::done) {
+        run->confirmed_at = now;
+        if (run->stage == run_stage::ordered)
+            run->stage = run_stage::confirmed;
+        return;
+    }
+    log_event(log_level::warning, "start_not_confirmed")
+        .field("job", order.task.job)
+        .field("step", order.task.step)
+        .field("index", order.task.index)
+        .field("run", order.run)
+        .field("worker", order.worker.id)
+        .field("answer", to_name(answer))
+        .field("attempt", run->start_attempts);
+    if (answer == order_answer::unhealthy)
+        record_failure(*on, order.task.job, now, "unhealthy");
+    if (answer == order_answer::not_sent) {
+        on->hold_unanswered = true;
+        on->next_hold_at = now;
+    }
+    // Only an earlier attempt without an answer may still be on its way; a stop bars it.
+    if (answer != order_answer::no_answer && run->start_attempts == 1)
+        lose(*on, {order.task, order.run});
+    else if (answer != order_answer::no_answer || run->start_attempts >= max_start_attempts)
+        run->stop_wanted = true;
+}
+
+void controller::observe(const stop_order& order, order_answer answer, time_ms now) {
+    auto* on = worker_of(order.worker);
+    if (!on || order.fence != fence_)
+        return;
+    if (answer == order_answer::other_life) {
+        forget_life(*on, "another life answered");
+        drop_worker(order.worker.id);
+        return;
+    }
+    auto* run = on->find(order.task, order.run);
+    if (!run)
+        return;
+    run->stop_under_way = false;
+    if (answer == order_answer::done) {
+        run->stop_answered_at = now;
+        on->next_hold_at = std::min(on->next_hold_at, now);
+    }
+}
+
+void controller::observe(const pace_order& order, order_answer answer, time_ms) {
+    auto* on = worker_of(order.worker);
+    if (!on || order.fence != fence_)
+        return;
+    auto* run = on->find(order.task, order.run);
+    if (!run)
+        return;
+    run->pace_under_way = false;
+    if (answer == order_answer::done)
+        run->pace = order.percent;
+}
+
+void controller::committed(const decisions& done, const std::vector<bool>& accepted,
+                           time_ms now) {
+    if (!leading())
+        return;
+    for (std::size_t i = 0; i < done.log.size(); ++i) {
+        const auto* start = std::get_if<start_run>(&done.log[i]);
+        if (!start)
+            continue;
+        starting_.erase(start->task);
+        auto* on = worker_of(start->worker);
+        auto* run = on ? on->find(start->task, start->run) : nullptr;
+        if (!accepted[i]) {
+            if (run)
+                on->remove({start->task, start->run});
+            continue;
+        }
+        if (run) {
+            run->stage = run_stage::ordered;
+            issue_start(*on, *run, now);
+        } else {
+            // The worker went while the start was being logged; no order has left.
+            out_.log.emplace_back(lose_run{start->task, start->run, {}});
+        }
+    }
+    for (const auto& item : done.ends) {
+        if (auto* on = worker_of(item.worker))
+            on->last_seen = std::max(on->last_seen, item.number);
+    }
+}
+
+void controller::rejected(const decisions& done, time_ms) {
+    for (std::size_t i = 0; i < done.log.size(); ++i) {
+        if (const auto* start = std::get_if<start_run>(&done.log[i])) {
+            starting_.erase(start->task);
+            if (auto* on = worker_of(start->worker))
+                on->remove({start->task, start->run});
+        } else {
+            retry_.log.push_back(done.log[i]);
+        }
+    }
+    retry_.ends.insert(retry_.ends.end(), done.ends.begin(), done.ends.end());
+}
+
+bool controller::is_current(const worker& on, const live_run& run) const {
+    if (run.stage == run_stage::logging)
+        return true;
+    const auto* owner = table_.find_job(run.task.job);
+    const auto* item = table_.find_task(run.task);
+    return owner && item && !owner->ended() && item->phase == task_phase::assigned &&
+           item->run == run.run && item->worker == on.ref;
+}
+
+void controller::issue_start(worker& on, live_run& run, time_ms now) {
+    if (!is_current(on, run)) {
+        // Cancelled before the order left: bar it nevertheless, the list then proves its absence.
+        run.stop_wanted = true;
+        return;
+    }
+    const auto until = on.lease_to_grant(now);
+    on.lease_until = std::max(on.lease_until, until);
+    run.order_under_way = true;
+    ++run.start_attempts;
+    const auto* item = table_.find_task(run.task);
+    start_order order;
+    order.worker = on.ref;
+    order.address = on.address;
+    order.task = run.task;
+    order.run = run.run;
+    order.payload = table_.find_job(run.task.job)->spec.payload;
+    order.until = until;
+    order.fence = fence_;
+    order.checkpoint = item->checkpoint;
+    out_.orders.emplace_back(std::move(order));
+}
+
+void controller::issue_stop(worker& on, live_run& run, time_ms now) {
+    run.stop_under_way = true;
+    run.stop_tried_at = now;
+    out_.orders.emplace_back(stop_order{on.ref, on.address, run.task, run.run, fence_});
+}
+
+void controller::review_run(worker& on, live_run& run, time_ms now) {
+    if (run.stage == run_stage::logging || run.order_under_way)
+        return;
+    if (!run.stop_wanted && !is_current(on, run))
+        run.stop_wanted = true;
+    if (!run.stop_wanted && on.draining && run.lasting && run.stage == run_stage::listed) {
+        log_event(log_level::info, "run_evacuated")
+            .field("job", run.task.job)
+            .field("index", run.task.index)
+            .field("worker", on.ref.id);
+        run.stop_wanted = true;
+    }
+    if (!run.stop_wanted && !run.lasting && run.stage == run_stage::listed &&
+        run.lists_without_progress >= stalled_lists && now - run.progress_at > stalled_after) {
+        log_event(log_level::warning, "run_stalled")
+            .field("job", run.task.job)
+            .field("index", run.task.index)
+            .field("run", run.run)
+            .field("worker", on.ref.id)
+            .field("percent", run.percent);
+        failed_on_[run.task] = on.ref.id;
+        record_failure(on, run.task.job, now, "stalled");
+        run.stop_wanted = true;
+    }
+    if (run.stop_wanted) {
+        if (!run.stop_under_way && run.stop_answered_at == 0 && on.contacted &&
+            now - run.stop_tried_at >= stop_retry)
+            issue_stop(on, run, now);
+        return;
+    }
+    if (run.stage == run_stage::ordered && !run.inherited && on.contacted)
+        issue_start(on, run, now);
+}
+
+void controller::review_runs(worker& on, time_ms now) {
+    for (auto& [key, run] : on.runs)
+        review_run(on, run, now);
+}
+
+// Lives whose leases are over can have no runs any more.
+void controller::retire_lives(time_ms now) {
+    std::vector<std::string> over;
+    for (auto& [id, item] : workers_) {
+        const bool silent = item.hold_unanswered || !item.contacted;
+        if (silent && !item.runs.empty() && item.lease_over(now) &&
+            (item.hold_unanswered || now >= item.inherited_lease_end))
+            forget_life(item, "lease over");
+        if (silent && item.runs.empty() && now - item.reported_at > silent_worker_limit &&
+            now - lead_since_ > silent_worker_limit)
+            over.push_back(id);
+    }
+    for (const auto& id : over)
+        drop_worker(id);
+    for (auto& item : old_lives_)
+        forget_life(item, "an earlier life");
+    old_lives_.clear();
+}
+
+void controller::issue_holds(time_ms now) {
+    for (auto& [id, item] : workers_) {
+        if (item.hold_under_way || item.ends_under_way() || item.address.empty() ||
+            now < item.next_hold_at)
+            continue;
+        hold_order order;
+        order.worker = item.ref;
+        order.address = item.address;
+        order.fence = fence_;
+        order.last_seen = item.last_seen;
+        const bool unresolved = std::ranges::any_of(item.runs, [](const auto& entry) {
+            const auto& run = entry.second;
+            return run.stop_answered_at != 0 || run.inherited;
+        });
+        const bool serving = std::ranges::any_of(
+            item.runs, [](const auto& entry) { return entry.second.lasting; });
+        if (item.contacted && !item.hold_unanswered) {
+            order.until = item.lease_to_grant(now);
+            item.lease_until = std::max(item.lease_until, *order.until);
+            order.wait = serving ? serving_hold_wait : hold_wait;
+            if (unresolved) {
+                order.wait = 0;
+                item.next_hold_at = now + hold_retry;
+            }
+        }
+        item.hold_under_way = true;
+        out_.orders.emplace_back(std::move(order));
+    }
+}
+
+double controller::estimate_rate(const std::string& queue) const {
+    const auto at = estimate_rates_.find(queue);
+    return at == estimate_rates_.end() ? 1.0 : at->second;
+}
+
+std::string controller::pool_of(const job& item) const {
+    const auto* queue = table_.config().find_queue(item.queue);
+    return queue ? queue->pool : item.pool;
+}
+
+std::vector<controller::ready_step> controller::ready_steps(time_ms now, time_ms wall) const {
+    std::vector<ready_step> out;
+    for (const auto& id : table_.open_jobs()) {
+        const auto& item = *table_.find_job(id);
+        if (item.ended())
+            continue;
+        const auto* queue = table_.config().find_queue(item.queue);
+        const auto rate = estimate_rate(item.queue);
+        bool first = true;
+        time_ms slack = 0;
+        for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
+            const auto& in = item.occurrences[k];
+            if (item.spec.times > 0 && wall < item.spec.start_at + k * item.spec.interval)
+                break;
+            if (in.done())
+                continue;
+            for (std::uint32_t s = 0; s < in.steps.size(); ++s) {
+                if (in.steps[s].waiting == 0)
+                    continue;
+                const auto& spec = item.spec.steps[s];
+                const bool turn = std::ranges::all_of(spec.depends_on, [&](std::uint32_t earlier) {
+                    return in.steps[earlier].done == item.spec.steps[earlier].count;
+                });
+                if (!turn)
+                    continue;
+                if (std::exchange(first, false)) {
+                    const auto chain = longest_chain(item.spec, rate);
+                    const auto due =
+                        item.accepted_at + (queue ? queue->target_latency : 0) +
+                        static_cast<time_ms>((queue ? queue->stretch : 1.0) *
+                                             static_cast<double>(chain));
+                    slack = due - wall - remaining_chain(item, rate);
+                }
+                ready_step step;
+                step.owner = &item;
+                step.occurrence = k;
+                step.step = s;
+                step.lasting = spec.lasting;
+                step.begun = item.state == job_state::active;
+                step.slack = slack;
+                step.hopeless = !spec.lasting && slack < -longest_chain(item.spec, rate) / 2;
+                out.push_back(step);
+            }
+        }
+    }
+    (void)now;
+    const auto rank = [](const ready_step& step) {
+        return std::tuple(!step.lasting, step.hopeless, !step.begun, step.slack);
+    };
+    std::ranges::sort(out, [&](const auto& a, const auto& b) { return rank(a) < rank(b); });
+    return out;
+}
+
+void controller::propose_start(const task_id& id, const task& item, worker& on, std::uint32_t run,
+                               time_ms now) {
+    const auto& owner = *table_.find_job(id.job);
+    const auto& step = owner.spec.steps[id.step];
+    live_run added;
+    added.task = id;
+    added.run = run;
+    added.need = occupied(step);
+    added.lasting = step.lasting;
+    added.filler = step.filler;
+    added.since = now;
+    added.checkpoint = item.checkpoint;
+    on.add(std::move(added));
+    starting_.insert(id);
+    out_.log.emplace_back(start_run{id, run, on.ref, on.address});
+}
+
+// Rack on which the step already runs, for steps that are slower when spread.
+std::string controller::preferred_rack(const ready_step& item) const {
+    const auto& spec = item.owner->spec.steps[item.step];
+    if (!spec.colocate)
+        return {};
+    for (const auto& one : item.owner->occurrences[item.occurrence].steps[item.step].tasks) {
+        if (one.phase != task_phase::assigned)
+            continue;
+        const auto at = workers_.find(one.worker.id);
+        if (at != workers_.end())
+            return at->second.rack;
+    }
+    return {};
+}
+
+void controller::place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+    const auto& spec = item.owner->spec.steps[item.step];
+    const auto& tasks = item.owner->occurrences[item.occurrence].steps[item.step].tasks;
+    placement_request request;
+    request.step = &spec;
+    request.job = item.owner->id;
+    request.occurrence = item.occurrence;
+    request.step_index = item.step;
+    request.rack = preferred_rack(item);
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].phase != task_phase::waiting)
+            continue;
+        const task_id id{item.owner->id, item.occurrence, item.step, i};
+        if (starting_.contains(id))
+            continue;
+        const auto failed = failed_on_.find(id);
+        request.avoid = failed == failed_on_.end() ? std::string() : failed->second;
+        auto* on = choose_worker(pool, request, now);
+        if (!on)
+            return;
+        if (spec.colocate && request.rack.empty())
+            request.rack = on->rack;
+        propose_start(id, tasks[i], *on, tasks[i].run + 1, now);
+    }
+}
+
+// All members of a gang start under one run, or none does.
+bool controller::place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+    const auto& spec = item.owner->spec.steps[item.step];
+    const auto& progress = item.owner->occurrences[item.occurrence].steps[item.step];
+    if (progress.waiting != spec.count)
+        return false; // members of the last run have not ended yet
+    std::uint32_t run = 0;
+    for (std::uint32_t i = 0; i < spec.count; ++i) {
+        run = std::max(run, progress.tasks[i].run);
+        if (starting_.contains({item.owner->id, item.occurrence, item.step, i}))
+            return false;
+    }
+    placement_request request;
+    request.step = &spec;
+    request.job = item.owner->id;
+    request.occurrence = item.occurrence;
+    request.step_index = item.step;
+    const auto log_size = out_.log.size();
+    std::vector<std::pair<worker*, run_key>> placed;
+    for (std::uint32_t i = 0; i < spec.count; ++i) {
+        auto* on = choose_worker(pool, request, now);
+        if (!on)
+            break;
+        if (spec.colocate && request.rack.empty())
+            request.rack = on->rack;
+        const task_id id{item.owner->id, item.occurrence, item.step, i};
+        propose_start(id, progress.tasks[i], *on, run + 1, now);
+        placed.emplace_back(on, run_key{id, run + 1});
+    }
+    if (placed.size() == spec.count)
+        return true;
+    out_.log.resize(log_size, cancel_job{});
+    for (const auto& [on, key] : placed) {
+        on->remove(key);
+        starting_.erase(key.first);
+    }
+    return false;
+}
+
+void controller::place(time_ms now, time_ms wall) {
+    const auto steps = ready_steps(now, wall);
+    if (steps.empty())
+        return;
+    std::map<std::string, std::vector<worker*>> pools;
+    for (auto& [id, item] : workers_) {
+        if (accepts_runs(item, now))
+            pools[item.pool].push_back(&item);
+    }
+    for (const auto& item : steps) {
+        auto& pool = pools[pool_of(*item.owner)];
+        if (pool.empty())
+            continue;
+        if (item.owner->spec.steps[item.step].gang)
+            place_gang(item, pool, now);
+        else
+            place_step(item, pool, now);
+    }
+}
+
+decisions controller::decide(time_ms now, time_ms wall) {
+    if (!leading())
+        return {};
+    // Before anything new, in the order in which it was observed.
+    out_.log.insert(out_.log.begin(), retry_.log.begin(), retry_.log.end());
+    out_.ends.insert(out_.ends.begin(), retry_.ends.begin(), retry_.ends.end());
+    retry_ = {};
+    retire_lives(now);
+    for (auto& [id, item] : workers_)
+        review_runs(item, now);
+    place(now, wall);
+    issue_holds(now);
+    return std::exchange(out_, {});
+}
+
+pool_load controller::load_of(const std::string& pool) const {
+    pool_load out;
+    for (const auto& [id, item] : workers_) {
+        if (item.pool != pool || item.draining || item.leaving || item.hold_unanswered)
+            continue;
+        ++out.workers;
+        out.capacity += item.capacity.cpu;
+        for (const auto& [key, run] : item.runs) {
+            if (run.lasting)
+                out.capacity -= run.need.cpu;
+        }
+    }
+    for (const auto& id : table_.open_jobs()) {
+        const auto& item = *table_.find_job(id);
+        if (!item.ended() && !item.lasting() && item.spec.times == 0 && pool_of(item) == pool)
+            out.work_left += remaining_work(item, estimate_rate(item.queue));
+    }
+    return out;
+}
+
+admission controller::consider(const queue_config& queue, const job_spec& spec) const {
+    const auto load = load_of(queue.pool);
+    const auto rate = estimate_rate(queue.name);
+    admission_input input;
+    input.chain = longest_chain(spec, rate);
+    input.target_latency = queue.target_latency;
+    input.stretch = queue.stretch;
+    input.lasting = std::ranges::any_of(spec.steps, &step_spec::lasting);
+    input.scheduled = spec.times > 0;
+    // Nothing is known of the workers yet, or all are gone: the work waits for them.
+    constexpr time_ms unknown_wait{60'000};
+    input.wait = load.capacity > 0 ? load.work_left / load.capacity
+                                   : (load.work_left > 0 ? unknown_wait : 0);
+    return admit(input);
+}
+
+std::size_t controller::pending(const std::string& queue) const {
+    std::size_t out = 0;
+    for (const auto& id : table_.open_jobs()) {
+        const auto& item = *table_.find_job(id);
+        out += item.queue == queue && item.state == job_state::queued ? 1U : 0U;
+    }
+    return out;
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/controller.h
@@ -0,0 +1,129 @@
+// Decisions of the leading control node about jobs and workers. Without input or output: what was
+// observed and the time go in; operations for the log and orders come out of `decide`.
+//
+// A start is logged before its order leaves, so that a later leader knows of every run that may
+// exist. An end is acknowledged to the worker once it is in the log.
+#pragma once
+
+#include "workload/admission.h"
+#include "workload/placement.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace clementine::workload {
+
+struct controller_settings {
+    std::string node;           // holder of machine orders
+    time_ms stop_time{0};       // longest time that a worker takes to stop a run
+    time_ms restore_time{0};    // until a task that resumes from a checkpoint is at work
+};
+
+// Ends up to `number` on one worker, whose operations are part of the same decisions.
+struct logged_ends {
+    worker_ref worker;
+    std::uint64_t number = 0;
+};
+
+struct decisions {
+    std::vector<operation> log; // to be committed as one command
+    std::vector<logged_ends> ends;
+    std::vector<order> orders;
+};
+
+// Load of one pool, for admission and for moves.
+struct pool_load {
+    std::int64_t capacity = 0; // thousandths of a core that short tasks may use
+    std::int64_t work_left = 0; // thousandths of a core times ms that were taken and not done
+    std::size_t workers = 0;
+};
+
+class controller {
+  public:
+    controller(const job_table& table, controller_settings settings);
+
+    // This node leads from now on, under a new fence.
+    void lead(std::uint64_t fence, time_ms now);
+    void stop_leading();
+    bool leading() const { return fence_ != 0; }
+
+    // A worker announced itself; false if the announcement is out of date.
+    bool observe(const worker_report& report, time_ms now);
+    // A worker said that it ends.
+    void observe_leave(const std::string& id, time_ms now);
+    void observe(const hold_order& order, order_answer answer, const worker_lists& lists,
+                 time_ms sent_at, time_ms received_at);
+    void observe(const start_order& order, order_answer answer, time_ms now);
+    void observe(const stop_order& order, order_answer answer, time_ms now);
+    void observe(const pace_order& order, order_answer answer, time_ms now);
+    // The operations of a `decide` were committed; `accepted` as told by the job table.
+    void committed(const decisions& done, const std::vector<bool>& accepted, time_ms now);
+    // The log took none of the operations of a `decide`.
+    void rejected(const decisions& done, time_ms now);
+
+    // `wall` is the wall clock, for scheduled jobs.
+    decisions decide(time_ms now, time_ms wall);
+
+    // Whether to take a new job of a queue.
+    admission consider(const queue_config& queue, const job_spec& spec) const;
+    pool_load load_of(const std::string& pool) const;
+    const std::map<std::string, worker>& workers() const { return workers_; }
+    // Queue of a job in force, or its pool alone if the queue is gone.
+    std::string pool_of(const job& item) const;
+    // Accepted jobs of a queue that have not begun.
+    std::size_t pending(const std::string& queue) const;
+
+  private:
+    struct ready_step {
+        const job* owner = nullptr;
+        std::uint32_t occurrence = 0;
+        std::uint32_t step = 0;
+        bool lasting = false;
+        bool hopeless = false; // cannot be on time any more
+        bool begun = false;
+        time_ms slack{0};
+    };
+
+    worker* worker_of(const worker_ref& ref);
+    void inherit_runs(time_ms now);
+    void forget_life(worker& gone, const char* reason);
+    void retire_lives(time_ms now);
+    void drop_worker(const std::string& id);
+    void lose(worker& on, const run_key& key);
+    void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
+    void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
+    void take_ends(worker& from, const worker_lists& lists, time_ms now);
+    void record_success(worker& on);
+    void record_failure(worker& on, const std::string& job, time_ms now, const char* reason);
+    void review_runs(worker& on, time_ms now);
+    void review_run(worker& on, live_run& run, time_ms now);
+    bool is_current(const worker& on, const live_run& run) const;
+    void issue_start(worker& on, live_run& run, time_ms now);
+    void issue_stop(worker& on, live_run& run, time_ms now);
+    void issue_holds(time_ms now);
+    std::vector<ready_step> ready_steps(time_ms now, time_ms wall) const;
+    void place(time_ms now, time_ms wall);
+    void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
+    bool place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now);
+    void propose_start(const task_id& id, const task& item, worker& on, std::uint32_t run,
+                       time_ms now);
+    std::string preferred_rack(const ready_step& item) const;
+    double estimate_rate(const std::string& queue) const;
+
+    const job_table& table_;
+    controller_settings settings_;
+    std::uint64_t fence_ = 0;
+    time_ms lead_since_{0};
+    std::map<std::string, worker> workers_;  // by id, the newest life
+    std::map<std::string, std::string> at_address_; // address -> id
+    std::vector<worker> old_lives_; // superseded lives whose runs may still hold a lease
+    std::set<task_id> starting_;    // proposed to the log
+    std::map<task_id, std::string> failed_on_; // worker on which a task failed last
+    std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
+    decisions out_;
+    decisions retry_; // operations that the log did not take
+};
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/fleet_protocol.h
@@ -0,0 +1,94 @@
+// What the workload's runtime needs from the outside world's formats. The adapter to a platform
+// implements it; nothing here decides.
+#pragma once
+
+#include "workload/job_table.h"
+#include "workload/orders.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace clementine::workload {
+
+// A request as received, without what belongs to the connection.
+struct fleet_request {
+    std::string method;
+    std::string host;
+    std::string target;
+    std::string body;
+};
+
+struct fleet_response {
+    unsigned status = 200;
+    std::string body; // JSON or empty
+};
+
+// An order in the form in which it is sent.
+struct encoded_order {
+    std::string method;
+    std::string target;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+struct order_result {
+    order_answer answer = order_answer::invalid;
+    worker_lists lists;                    // of a hold
+    std::vector<machine_report> machines;  // of a list of machines
+    std::string next_page;                 // of a list of machines; empty: that was all
+};
+
+// Requests to the control nodes, decoded.
+struct announce_worker {
+    worker_report report;
+};
+struct worker_leaves {
+    std::string id;
+};
+struct apply_configuration {
+    configuration value;
+};
+struct read_configuration {};
+struct start_wave {
+    wave_order order;
+};
+struct read_wave {
+    std::uint64_t number = 0;
+};
+struct malformed_request {
+    std::string reason;
+};
+struct unknown_request {};
+
+using control_request =
+    std::variant<announce_worker, worker_leaves, apply_configuration, read_configuration,
+                 start_wave, read_wave, malformed_request, unknown_request>;
+
+class fleet_protocol {
+  public:
+    fleet_protocol() = default;
+    fleet_protocol(const fleet_protocol&) = delete;
+    fleet_protocol& operator=(const fleet_protocol&) = delete;
+    virtual ~fleet_protocol() = default;
+
+    virtual control_request decode_control(const fleet_request& request) const = 0;
+    // A submitted job; the reason in the second part if it is malformed.
+    virtual std::optional<job_spec> decode_job(std::string_view body,
+                                               std::string& reason) const = 0;
+    // True if the text may name a job.
+    virtual bool is_job_id(std::string_view text) const = 0;
+    virtual std::string encode_job_state(job_state state) const = 0;
+    virtual std::string encode_pending(std::size_t jobs) const = 0;
+    virtual std::string encode_wave_state(bool completed) const = 0;
+    // `holder` names the node that gives orders about machines.
+    virtual encoded_order encode_order(const order& value, const std::string& holder,
+                                       const std::string& page) const = 0;
+    virtual order_result decode_answer(const order& value, unsigned status,
+                                       std::string_view body) const = 0;
+};
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/job_codec.cpp
@@ -0,0 +1,462 @@
+// Binary form of commands and of the saved table.
+#include "consensus/codec.h"
+#include "workload/job_table.h"
+
+#include <utility>
+
+namespace clementine::workload {
+
+namespace {
+
+using writer = consensus::byte_writer;
+using reader = consensus::byte_reader;
+
+// First byte of a saved table; raised with each incompatible change.
+constexpr std::uint8_t table_format = 1;
+
+template <class Items, class Write>
+void write_list(writer& out, const Items& items, Write write) {
+    out.u32(static_cast<std::uint32_t>(items.size()));
+    for (const auto& item : items)
+        write(item);
+}
+
+template <class Read>
+void read_list(reader& in, Read read) {
+    const auto count = in.u32();
+    for (std::uint32_t i = 0; i < count && in.good(); ++i)
+        read();
+}
+
+void put(writer& out, time_ms value) {
+    out.u64(static_cast<std::uint64_t>(value));
+}
+
+time_ms take_time(reader& in) {
+    return static_cast<time_ms>(in.u64());
+}
+
+void put(writer& out, const resources& value) {
+    put(out, value.cpu);
+    put(out, value.memory);
+    put(out, value.accelerators);
+}
+
+resources take_resources(reader& in) {
+    resources out;
+    out.cpu = take_time(in);
+    out.memory = take_time(in);
+    out.accelerators = take_time(in);
+    return out;
+}
+
+void put(writer& out, const step_spec& value) {
+    out.u32(value.count);
+    put(out, value.need);
+    put(out, value.estimate);
+    write_list(out, value.depends_on, [&](std::uint32_t step) { out.u32(step); });
+    const std::uint32_t flags = (value.checkpointing ? 1U : 0U) | (value.gang ? 2U : 0U) |
+                                (value.colocate ? 4U : 0U) | (value.speculative ? 8U : 0U) |
+                                (value.lasting ? 16U : 0U) | (value.filler ? 32U : 0U);
+    out.u32(flags);
+    out.text(value.required_label);
+    out.text(value.data_rack);
+    out.u32(value.max_per_worker);
+    out.text(value.image);
+    put(out, value.target_tail);
+    out.u32(value.may_miss);
+}
+
+step_spec take_step(reader& in) {
+    step_spec out;
+    out.count = in.u32();
+    out.need = take_resources(in);
+    out.estimate = take_time(in);
+    read_list(in, [&] { out.depends_on.push_back(in.u32()); });
+    const auto flags = in.u32();
+    out.checkpointing = (flags & 1U) != 0;
+    out.gang = (flags & 2U) != 0;
+    out.colocate = (flags & 4U) != 0;
+    out.speculative = (flags & 8U) != 0;
+    out.lasting = (flags & 16U) != 0;
+    out.filler = (flags & 32U) != 0;
+    out.required_label = in.text();
+    out.data_rack = in.text();
+    out.max_per_worker = in.u32();
+    out.image = in.text();
+    out.target_tail = take_time(in);
+    out.may_miss = in.u32();
+    return out;
+}
+
+void put(writer& out, const job_spec& value) {
+    out.text(value.payload);
+    write_list(out, value.steps, [&](const step_spec& step) { put(out, step); });
+    out.u32(value.times);
+    put(out, value.start_at);
+    put(out, value.interval);
+}
+
+job_spec take_spec(reader& in) {
+    job_spec out;
+    out.payload = in.text();
+    read_list(in, [&] { out.steps.push_back(take_step(in)); });
+    out.times = in.u32();
+    out.start_at = take_time(in);
+    out.interval = take_time(in);
+    return out;
+}
+
+// Ratios are stored in millionths.
+constexpr double ratio_unit = 1e6;
+
+void put(writer& out, const configuration& value) {
+    out.u64(value.version);
+    write_list(out, value.queues, [&](const queue_config& queue) {
+        out.text(queue.name);
+        out.text(queue.host);
+        out.text(queue.prefix);
+        out.text(queue.pool);
+        put(out, queue.timeout);
+        put(out, queue.target_latency);
+        put(out, queue.priority);
+        out.u32(queue.attempts);
+        out.u64(static_cast<std::uint64_t>(queue.stretch * ratio_unit));
+        out.u8(queue.needs_placement_advice ? 1 : 0);
+    });
+    write_list(out, value.pools, [&](const pool_config& pool) {
+        out.text(pool.name);
+        out.u8((pool.rejects_overload ? 1 : 0) | (pool.standby ? 2 : 0));
+    });
+    out.text(value.document);
+}
+
+configuration take_configuration(reader& in) {
+    configuration out;
+    out.version = in.u64();
+    read_list(in, [&] {
+        queue_config queue;
+        queue.name = in.text();
+        queue.host = in.text();
+        queue.prefix = in.text();
+        queue.pool = in.text();
+        queue.timeout = take_time(in);
+        queue.target_latency = take_time(in);
+        queue.priority = take_time(in);
+        queue.attempts = in.u32();
+        queue.stretch = static_cast<double>(in.u64()) / ratio_unit;
+        queue.needs_placement_advice = in.u8() != 0;
+        out.queues.push_back(std::move(queue));
+    });
+    read_list(in, [&] {
+        pool_config pool;
+        pool.name = in.text();
+        const auto flags = in.u8();
+        pool.rejects_overload = (flags & 1U) != 0;
+        pool.standby = (flags & 2U) != 0;
+        out.pools.push_back(std::move(pool));
+    });
+    out.document = in.text();
+    return out;
+}
+
+void put(writer& out, const worker_ref& value) {
+    out.text(value.id);
+    put(out, value.born);
+}
+
+worker_ref take_worker(reader& in) {
+    worker_ref out;
+    out.id = in.text();
+    out.born = take_time(in);
+    return out;
+}
+
+void put(writer& out, const task_id& value) {
+    out.text(value.job);
+    out.u32(value.occurrence);
+    out.u32(value.step);
+    out.u32(value.index);
+}
+
+task_id take_task_id(reader& in) {
+    task_id out;
+    out.job = in.text();
+    out.occurrence = in.u32();
+    out.step = in.u32();
+    out.index = in.u32();
+    return out;
+}
+
+void put(writer& out, const wave_order& value) {
+    out.u64(value.number);
+    write_list(out, value.machines, [&](const std::string& machine) { out.text(machine); });
+    put(out, value.duration);
+    out.u32(value.cap);
+}
+
+wave_order take_wave_order(reader& in) {
+    wave_order out;
+    out.number = in.u64();
+    read_list(in, [&] { out.machines.push_back(in.text()); });
+    out.duration = take_time(in);
+    out.cap = in.u32();
+    return out;
+}
+
+void put(writer& out, const put_configuration& op) {
+    put(out, op.value);
+}
+void put(writer& out, const submit_job& op) {
+    out.text(op.id);
+    out.text(op.queue);
+    out.text(op.pool);
+    out.u32(op.attempts);
+    put(out, op.spec);
+}
+void put(writer& out, const cancel_job& op) {
+    out.text(op.id);
+}
+void put(writer& out, const start_run& op) {
+    put(out, op.task);
+    out.u32(op.run);
+    put(out, op.worker);
+    out.text(op.address);
+}
+void put(writer& out, const end_run& op) {
+    put(out, op.task);
+    out.u32(op.run);
+    out.u8(static_cast<std::uint8_t>(op.how));
+    out.text(op.checkpoint);
+}
+void put(writer& out, const lose_run& op) {
+    put(out, op.task);
+    out.u32(op.run);
+    out.text(op.checkpoint);
+}
+void put(writer& out, const put_wave& op) {
+    put(out, op.order);
+}
+void put(writer& out, const mark_upkeep& op) {
+    out.u64(op.wave);
+    out.text(op.machine);
+    out.u8(static_cast<std::uint8_t>(op.phase));
+}
+void put(writer& out, const hold_machines& op) {
+    out.text(op.node);
+}
+
+operation take_operation(reader& in, bool& known) {
+    switch (in.u8()) {
+    case 0:
+        return put_configuration{take_configuration(in)};
+    case 1: {
+        submit_job op;
+        op.id = in.text();
+        op.queue = in.text();
+        op.pool = in.text();
+        op.attempts = in.u32();
+        op.spec = take_spec(in);
+        return op;
+    }
+    case 2:
+        return cancel_job{in.text()};
+    case 3: {
+        start_run op;
+        op.task = take_task_id(in);
+        op.run = in.u32();
+        op.worker = take_worker(in);
+        op.address = in.text();
+        return op;
+    }
+    case 4: {
+        end_run op;
+        op.task = take_task_id(in);
+        op.run = in.u32();
+        op.how = static_cast<run_end>(in.u8());
+        op.checkpoint = in.text();
+        return op;
+    }
+    case 5: {
+        lose_run op;
+        op.task = take_task_id(in);
+        op.run = in.u32();
+        op.checkpoint = in.text();
+        return op;
+    }
+    case 6:
+        return put_wave{take_wave_order(in)};
+    case 7: {
+        mark_upkeep op;
+        op.wave = in.u64();
+        op.machine = in.text();
+        op.phase = static_cast<upkeep_phase>(in.u8());
+        return op;
+    }
+    case 8:
+        return hold_machines{in.text()};
+    default:
+        known = false;
+        return cancel_job{};
+    }
+}
+
+void put(writer& out, const task& item) {
+    out.u8(static_cast<std::uint8_t>(item.phase));
+    out.u32(item.run);
+    out.u32(item.failures);
+    put(out, item.worker);
+    out.text(item.address);
+    out.u64(item.fence);
+    out.text(item.checkpoint);
+}
+
+task take_task(reader& in) {
+    task out;
+    out.phase = static_cast<task_phase>(in.u8());
+    out.run = in.u32();
+    out.failures = in.u32();
+    out.worker = take_worker(in);
+    out.address = in.text();
+    out.fence = in.u64();
+    out.checkpoint = in.text();
+    return out;
+}
+
+void put(writer& out, const job& item) {
+    out.text(item.id);
+    out.text(item.queue);
+    out.text(item.pool);
+    put(out, item.spec);
+    out.u32(item.attempts);
+    out.u8(static_cast<std::uint8_t>(item.state));
+    put(out, item.accepted_at);
+    put(out, item.ended_at);
+    write_list(out, item.occurrences, [&](const occurrence& in) {
+        write_list(out, in.steps, [&](const step_progress& step) {
+            write_list(out, step.tasks, [&](const task& one) { put(out, one); });
+        });
+    });
+}
+
+// Counts are derived from the tasks.
+void recount(job& item) {
+    for (auto& in : item.occurrences) {
+        for (auto& step : in.steps) {
+            for (const auto& one : step.tasks) {
+                step.waiting += one.phase == task_phase::waiting ? 1 : 0;
+                step.done += one.phase == task_phase::done ? 1 : 0;
+            }
+            in.steps_done += step.done == step.tasks.size() ? 1 : 0;
+        }
+        item.occurrences_done += in.done() ? 1 : 0;
+    }
+}
+
+job take_job(reader& in) {
+    job out;
+    out.id = in.text();
+    out.queue = in.text();
+    out.pool = in.text();
+    out.spec = take_spec(in);
+    out.attempts = in.u32();
+    out.state = static_cast<job_state>(in.u8());
+    out.accepted_at = take_time(in);
+    out.ended_at = take_time(in);
+    read_list(in, [&] {
+        occurrence item;
+        read_list(in, [&] {
+            step_progress step;
+            read_list(in, [&] { step.tasks.push_back(take_task(in)); });
+            item.steps.push_back(std::move(step));
+        });
+        out.occurrences.push_back(std::move(item));
+    });
+    recount(out);
+    return out;
+}
+
+} // namespace
+
+std::string encode(const command& value) {
+    writer out;
+    put(out, value.at);
+    write_list(out, value.operations, [&](const operation& item) {
+        out.u8(static_cast<std::uint8_t>(item.index()));
+        std::visit([&](const auto& op) { put(out, op); }, item);
+    });
+    return out.take();
+}
+
+std::optional<command> decode_command(std::string_view bytes) {
+    reader in(bytes);
+    command out;
+    bool known = true;
+    out.at = take_time(in);
+    read_list(in, [&] { out.operations.push_back(take_operation(in, known)); });
+    if (!known || !in.finished())
+        return std::nullopt;
+    return out;
+}
+
+std::string job_table::save() const {
+    writer out;
+    out.u8(table_format);
+    put(out, now_);
+    put(out, config_);
+    out.text(holder_);
+    write_list(out, jobs_, [&](const auto& item) { put(out, item.second); });
+    write_list(out, open_, [&](const std::string& id) { out.text(id); });
+    write_list(out, ended_, [&](const auto& item) {
+        put(out, item.first);
+        write_list(out, item.second, [&](const std::string& id) { out.text(id); });
+    });
+    write_list(out, waves_, [&](const auto& item) {
+        put(out, item.second.order);
+        put(out, item.second.accepted_at);
+        write_list(out, item.second.machines, [&](const auto& machine) {
+            out.text(machine.first);
+            out.u8(static_cast<std::uint8_t>(machine.second));
+        });
+    });
+    return out.take();
+}
+
+bool job_table::load(std::string_view bytes) {
+    job_table loaded;
+    if (!bytes.empty()) {
+        reader in(bytes);
+        if (in.u8() != table_format)
+            return false;
+        loaded.now_ = take_time(in);
+        loaded.config_ = take_configuration(in);
+        loaded.holder_ = in.text();
+        read_list(in, [&] {
+            auto item = take_job(in);
+            auto id = item.id;
+            loaded.jobs_.emplace(std::move(id), std::move(item));
+        });
+        read_list(in, [&] { loaded.open_.insert(in.text()); });
+        read_list(in, [&] {
+            auto& ids = loaded.ended_[take_time(in)];
+            read_list(in, [&] { ids.push_back(in.text()); });
+        });
+        read_list(in, [&] {
+            wave item;
+            item.order = take_wave_order(in);
+            item.accepted_at = take_time(in);
+            read_list(in, [&] {
+                auto machine = in.text();
+                item.machines[std::move(machine)] = static_cast<upkeep_phase>(in.u8());
+            });
+            const auto number = item.order.number;
+            loaded.waves_.emplace(number, std::move(item));
+        });
+        if (!in.finished())
+            return false;
+    }
+    *this = std::move(loaded);
+    return true;
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/job_table.cpp
@@ -0,0 +1,262 @@
+#include "workload/job_table.h"
+
+#include <algorithm>
+
+namespace clementine::workload {
+
+namespace {
+
+step_progress new_progress(const step_spec& spec) {
+    step_progress out;
+    out.tasks.resize(spec.count);
+    out.waiting = spec.count;
+    return out;
+}
+
+bool dependencies_done(const job_spec& spec, const occurrence& in, std::uint32_t step) {
+    return std::ranges::all_of(spec.steps[step].depends_on, [&](std::uint32_t earlier) {
+        return in.steps[earlier].done == spec.steps[earlier].count;
+    });
+}
+
+} // namespace
+
+std::uint32_t occurrence_count(const job_spec& spec) {
+    return std::max<std::uint32_t>(1, spec.times);
+}
+
+bool job::lasting() const {
+    return std::ranges::any_of(spec.steps, &step_spec::lasting);
+}
+
+bool wave::completed() const {
+    return std::ranges::all_of(
+        machines, [](const auto& item) { return item.second == upkeep_phase::done; });
+}
+
+std::vector<bool> job_table::apply(const command& value, std::uint64_t term) {
+    now_ = value.at;
+    term_ = term;
+    drop_expired();
+    std::vector<bool> out;
+    out.reserve(value.operations.size());
+    for (const auto& item : value.operations)
+        out.push_back(std::visit([this](const auto& op) { return on(op); }, item));
+    return out;
+}
+
+const job* job_table::find_job(std::string_view id) const {
+    const auto at = jobs_.find(std::string(id));
+    return at == jobs_.end() ? nullptr : &at->second;
+}
+
+const task* job_table::find_task(const task_id& id) const {
+    return const_cast<job_table*>(this)->task_of(id, nullptr); // NOLINT: shared lookup
+}
+
+task* job_table::task_of(const task_id& id, job** owner) {
+    const auto at = jobs_.find(id.job);
+    if (at == jobs_.end() || id.occurrence >= at->second.occurrences.size())
+        return nullptr;
+    auto& steps = at->second.occurrences[id.occurrence].steps;
+    if (id.step >= steps.size() || id.index >= steps[id.step].tasks.size())
+        return nullptr;
+    if (owner)
+        *owner = &at->second;
+    return &steps[id.step].tasks[id.index];
+}
+
+bool job_table::on(const put_configuration& op) {
+    if (op.value.version <= config_.version)
+        return false;
+    config_ = op.value;
+    return true;
+}
+
+bool job_table::on(const submit_job& op) {
+    if (jobs_.contains(op.id))
+        return true;
+    auto& added = jobs_[op.id];
+    added.id = op.id;
+    added.queue = op.queue;
+    added.pool = op.pool;
+    added.spec = op.spec;
+    added.attempts = op.attempts;
+    added.accepted_at = now_;
+    occurrence first;
+    for (const auto& step : op.spec.steps)
+        first.steps.push_back(new_progress(step));
+    added.occurrences.assign(occurrence_count(op.spec), first);
+    open_.insert(op.id);
+    return true;
+}
+
+bool job_table::on(const cancel_job& op) {
+    const auto at = jobs_.find(op.id);
+    if (at == jobs_.end())
+        return false;
+    if (!at->second.ended())
+        end_job(at->second, job_state::canceled);
+    return true;
+}
+
+bool job_table::on(const start_run& op) {
+    job* owner = nullptr;
+    auto* item = task_of(op.task, &owner);
+    if (!item || owner->ended() || item->phase != task_phase::waiting || op.run <= item->run)
+        return false;
+    auto& in = owner->occurrences[op.task.occurrence];
+    if (!dependencies_done(owner->spec, in, op.task.step))
+        return false;
+    item->phase = task_phase::assigned;
+    item->run = op.run;
+    item->worker = op.worker;
+    item->address = op.address;
+    item->fence = term_;
+    --in.steps[op.task.step].waiting;
+    owner->state = job_state::active;
+    return true;
+}
+
+// Puts an assigned task back among those that wait.
+void job_table::release(job& owner, const task_id& id, task& item) {
+    item.phase = task_phase::waiting;
+    item.worker = {};
+    item.address.clear();
+    ++owner.occurrences[id.occurrence].steps[id.step].waiting;
+}
+
+void job_table::finish_task(job& owner, const task_id& id) {
+    auto& in = owner.occurrences[id.occurrence];
+    auto& step = in.steps[id.step];
+    auto& item = step.tasks[id.index];
+    if (item.phase == task_phase::done)
+        return;
+    if (item.phase == task_phase::waiting)
+        --step.waiting;
+    item.phase = task_phase::done;
+    item.worker = {};
+    item.address.clear();
+    item.checkpoint.clear();
+    if (++step.done < step.tasks.size())
+        return;
+    if (++in.steps_done == in.steps.size() && ++owner.occurrences_done == owner.occurrences.size())
+        end_job(owner, job_state::completed);
+}
+
+// One end as done stands for all members of a gang.
+void job_table::finish_gang(job& owner, const task_id& id) {
+    auto member = id;
+    for (member.index = 0; member.index < owner.spec.steps[id.step].count; ++member.index)
+        finish_task(owner, member);
+}
+
+bool job_table::on(const end_run& op) {
+    job* owner = nullptr;
+    auto* item = task_of(op.task, &owner);
+    if (!item)
+        return false;
+    const auto& spec = owner->spec.steps[op.task.step];
+    const bool current = item->phase == task_phase::assigned && item->run == op.run;
+    if (op.how == run_end::done && !spec.lasting) {
+        // A run that was thought lost may have finished; a newer run makes its end worthless.
+        if (item->phase == task_phase::done || item->run != op.run || owner->ended()) {
+            if (current) {
+                release(*owner, op.task, *item);
+                close_if_idle(*owner);
+            }
+            return current;
+        }
+        spec.gang ? finish_gang(*owner, op.task) : finish_task(*owner, op.task);
+        close_if_idle(*owner);
+        return true;
+    }
+    if (!current)
+        return false;
+    if (!op.checkpoint.empty()) {
+        item->checkpoint = op.checkpoint;
+        if (spec.gang) {
+            for (auto& member : owner->occurrences[op.task.occurrence].steps[op.task.step].tasks)
+                member.checkpoint = op.checkpoint;
+        }
+    }
+    release(*owner, op.task, *item);
+    if (op.how == run_end::failed && ++item->failures >= owner->attempts && !spec.lasting &&
+        !owner->ended())
+        end_job(*owner, job_state::failed);
+    close_if_idle(*owner);
+    return true;
+}
+
+bool job_table::on(const lose_run& op) {
+    job* owner = nullptr;
+    auto* item = task_of(op.task, &owner);
+    if (!item || item->phase != task_phase::assigned || item->run != op.run)
+        return false;
+    if (!op.checkpoint.empty())
+        item->checkpoint = op.checkpoint;
+    release(*owner, op.task, *item);
+    close_if_idle(*owner);
+    return true;
+}
+
+bool job_table::on(const put_wave& op) {
+    auto [at, added] = waves_.try_emplace(op.order.number);
+    if (!added)
+        return true;
+    at->second.order = op.order;
+    at->second.accepted_at = now_;
+    for (const auto& machine : op.order.machines)
+        at->second.machines[machine] = upkeep_phase::due;
+    return true;
+}
+
+bool job_table::on(const mark_upkeep& op) {
+    const auto at = waves_.find(op.wave);
+    if (at == waves_.end())
+        return false;
+    const auto machine = at->second.machines.find(op.machine);
+    if (machine == at->second.machines.end() || machine->second == upkeep_phase::done)
+        return false;
+    machine->second = op.phase;
+    return true;
+}
+
+bool job_table::on(const hold_machines& op) {
+    holder_ = op.node;
+    return true;
+}
+
+void job_table::end_job(job& owner, job_state state) {
+    owner.state = state;
+    owner.ended_at = now_;
+    ended_[now_].push_back(owner.id);
+    close_if_idle(owner);
+}
+
+// An ended job stays open while some of its tasks are still assigned.
+void job_table::close_if_idle(const job& owner) {
+    if (!owner.ended())
+        return;
+    for (const auto& in : owner.occurrences) {
+        for (const auto& step : in.steps) {
+            if (std::ranges::any_of(step.tasks, [](const task& item) {
+                    return item.phase == task_phase::assigned;
+                }))
+                return;
+        }
+    }
+    open_.erase(owner.id);
+}
+
+void job_table::drop_expired() {
+    while (!ended_.empty() && ended_.begin()->first + ended_job_retention < now_) {
+        for (const auto& id : ended_.begin()->second) {
+            jobs_.erase(id);
+            open_.erase(id);
+        }
+        ended_.erase(ended_.begin());
+    }
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/job_table.h
@@ -0,0 +1,189 @@
+// Replicated state of the workload: configuration, jobs, runs, waves and the holder of machine
+// orders. Deterministic: the same commands give the same state on every replica.
+#pragma once
+
+#include "workload/types.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace clementine::workload {
+
+// Time for which the state of an ended job can be asked for. The platform asks for 120 s of it on
+// its own clock; the rest allows for steps of the leader's wall clock.
+inline constexpr time_ms ended_job_retention{180'000};
+
+enum class job_state { queued, active, completed, failed, canceled };
+
+inline constexpr name_table<5> job_state_names{"queued", "active", "completed", "failed",
+                                               "canceled"};
+constexpr const auto& names_of(job_state) {
+    return job_state_names;
+}
+
+enum class task_phase : std::uint8_t { waiting, assigned, done };
+
+struct task {
+    task_phase phase = task_phase::waiting;
+    std::uint32_t run = 0;      // last start, 0 before the first
+    std::uint32_t failures = 0; // runs that ended as failed
+    worker_ref worker;          // of the assigned run
+    std::string address;        // of that worker, so that a new leader can ask it at once
+    std::uint64_t fence = 0;    // term of the leader that assigned it
+    std::string checkpoint;     // to resume from; empty: none
+};
+
+struct step_progress {
+    std::vector<task> tasks;
+    std::uint32_t waiting = 0;
+    std::uint32_t done = 0;
+};
+
+struct occurrence {
+    std::vector<step_progress> steps;
+    std::uint32_t steps_done = 0;
+    bool done() const { return steps_done == steps.size(); }
+};
+
+struct job {
+    std::string id;
+    std::string queue;
+    std::string pool; // of the queue when the job was accepted; used if the queue is gone
+    job_spec spec;
+    std::uint32_t attempts = 1;
+    job_state state = job_state::queued;
+    time_ms accepted_at{0}; // wall clock of the leader
+    time_ms ended_at{0};    // wall clock of the leader; 0 while not ended
+    std::vector<occurrence> occurrences;
+    std::uint32_t occurrences_done = 0;
+
+    bool ended() const { return state >= job_state::completed; }
+    bool lasting() const;
+};
+
+enum class upkeep_phase : std::uint8_t { due, ordered, done };
+
+struct wave {
+    wave_order order;
+    time_ms accepted_at{0}; // wall clock of the leader
+    std::map<std::string, upkeep_phase> machines;
+
+    bool completed() const;
+};
+
+// Commands. Each names the outcome that its proposer wants; `apply` checks that it still holds.
+struct put_configuration {
+    configuration value;
+};
+struct submit_job {
+    std::string id;
+    std::string queue;
+    std::string pool;
+    std::uint32_t attempts = 1;
+    job_spec spec;
+};
+struct cancel_job {
+    std::string id;
+};
+// Assigns a waiting task to a worker; orders to the worker follow only once this is committed.
+struct start_run {
+    task_id task;
+    std::uint32_t run = 0;
+    worker_ref worker;
+    std::string address;
+};
+// An end that a worker listed.
+struct end_run {
+    task_id task;
+    std::uint32_t run = 0;
+    run_end how = run_end::failed;
+    std::string checkpoint;
+};
+// The run is known not to run any more and nothing is known of its end.
+struct lose_run {
+    task_id task;
+    std::uint32_t run = 0;
+    std::string checkpoint;
+};
+struct put_wave {
+    wave_order order;
+};
+struct mark_upkeep {
+    std::uint64_t wave = 0;
+    std::string machine;
+    upkeep_phase phase = upkeep_phase::due;
+};
+// The node that gives orders about machines from now on.
+struct hold_machines {
+    std::string node;
+};
+
+using operation = std::variant<put_configuration, submit_job, cancel_job, start_run, end_run,
+                               lose_run, put_wave, mark_upkeep, hold_machines>;
+
+// One log entry: operations that are applied in order.
+struct command {
+    time_ms at{0}; // wall clock of the leader
+    std::vector<operation> operations;
+};
+
+std::string encode(const command& value);
+std::optional<command> decode_command(std::string_view bytes);
+
+class job_table {
+  public:
+    // Applies one command of a term; for each operation, whether it took effect. An operation that
+    // states what already holds took effect as well.
+    std::vector<bool> apply(const command& value, std::uint64_t term);
+
+    const configuration& config() const { return config_; }
+    const std::map<std::string, job>& jobs() const { return jobs_; }
+    const job* find_job(std::string_view id) const;
+    const task* find_task(const task_id& id) const;
+    // Ids of jobs that have not ended, and of ended ones with assigned runs.
+    const std::set<std::string>& open_jobs() const { return open_; }
+    const std::map<std::uint64_t, wave>& waves() const { return waves_; }
+    const std::string& machines_holder() const { return holder_; }
+
+    std::string save() const;
+    // False if the bytes are no saved state; the table is then unchanged. Empty bytes reset it.
+    bool load(std::string_view bytes);
+
+  private:
+    bool on(const put_configuration& op);
+    bool on(const submit_job& op);
+    bool on(const cancel_job& op);
+    bool on(const start_run& op);
+    bool on(const end_run& op);
+    bool on(const lose_run& op);
+    bool on(const put_wave& op);
+    bool on(const mark_upkeep& op);
+    bool on(const hold_machines& op);
+
+    task* task_of(const task_id& id, job** owner);
+    void finish_task(job& owner, const task_id& id);
+    void finish_gang(job& owner, const task_id& id);
+    void release(job& owner, const task_id& id, task& item);
+    void end_job(job& owner, job_state state);
+    void close_if_idle(const job& owner);
+    void drop_expired();
+
+    configuration config_;
+    std::map<std::string, job> jobs_;
+    std::set<std::string> open_;
+    std::map<time_ms, std::vector<std::string>> ended_; // by end time
+    std::map<std::uint64_t, wave> waves_;
+    std::string holder_;
+    time_ms now_{0};        // of the command that is applied
+    std::uint64_t term_ = 0; // of the command that is applied
+};
+
+// Occurrences that a job has: `times`, or one.
+std::uint32_t occurrence_count(const job_spec& spec);
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/placement.cpp
@@ -0,0 +1,89 @@
+#include "workload/placement.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace clementine::workload {
+
+namespace {
+
+// Costs in thousandths of a core, so that they compare with the processor time left over.
+// A task far from its data takes 1.5 to 3 times as long.
+constexpr std::int64_t far_from_data_cost = 20'000;
+// A repeated failure on one worker wastes one of the few attempts.
+constexpr std::int64_t failed_there_cost = 200'000;
+// Response times suffer from each other lasting task, and from fillers.
+constexpr std::int64_t shared_with_lasting_cost = 40'000;
+constexpr std::int64_t unproven_worker_cost = 10'000;
+
+struct occupancy {
+    std::uint32_t of_step = 0;
+    std::int64_t serving = 0; // lasting tasks with users of their own
+    std::int64_t fillers = 0;
+};
+
+occupancy count_runs(const worker& candidate, const placement_request& request) {
+    occupancy out;
+    for (const auto& [key, run] : candidate.runs) {
+        const auto& id = run.task;
+        if (id.step == request.step_index && id.occurrence == request.occurrence &&
+            id.job == request.job)
+            ++out.of_step;
+        if (run.filler)
+            ++out.fillers;
+        else if (run.lasting)
+            ++out.serving;
+    }
+    return out;
+}
+
+bool has_label(const worker& candidate, const std::string& label) {
+    return label.empty() || candidate.kind == label || candidate.rack == label;
+}
+
+} // namespace
+
+bool accepts_runs(const worker& candidate, time_ms now) {
+    return candidate.reported && candidate.contacted && !candidate.draining &&
+           !candidate.leaving && !candidate.hold_unanswered &&
+           now >= candidate.health.shunned_until &&
+           !(candidate.health.on_probation && !candidate.runs.empty());
+}
+
+worker* choose_worker(const std::vector<worker*>& pool, const placement_request& request,
+                      time_ms now) {
+    const auto& step = *request.step;
+    const auto need = occupied(step);
+    worker* best = nullptr;
+    auto best_cost = std::numeric_limits<std::int64_t>::max();
+    for (auto* candidate : pool) {
+        if (!accepts_runs(*candidate, now) || !candidate->free().holds(need) ||
+            !has_label(*candidate, step.required_label))
+            continue;
+        const auto there = count_runs(*candidate, request);
+        if (step.max_per_worker != 0 && there.of_step >= step.max_per_worker)
+            continue;
+        std::int64_t cost = 0;
+        if (!step.data_rack.empty() && candidate->rack != step.data_rack)
+            cost += far_from_data_cost;
+        if (!request.rack.empty() && candidate->rack != request.rack)
+            cost += far_from_data_cost;
+        if (candidate->ref.id == request.avoid)
+            cost += failed_there_cost;
+        if (candidate->health.failed > 0)
+            cost += unproven_worker_cost;
+        if (step.filler)
+            cost += (there.serving + there.fillers) * shared_with_lasting_cost;
+        else if (step.lasting)
+            cost += (there.serving + there.fillers + there.of_step) * shared_with_lasting_cost;
+        else
+            cost += (candidate->free() - need).cpu;
+        if (cost < best_cost) {
+            best_cost = cost;
+            best = candidate;
+        }
+    }
+    return best;
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/types.h
@@ -0,0 +1,190 @@
+// Plain data of jobs that run as tasks on leased workers: what callers submit, what operators
+// configure, and what workers and the platform report.
+#pragma once
+
+#include "base/clock.h"
+#include "base/names.h"
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace clementine::workload {
+
+// Processor in thousandths of a core, memory in MiB, accelerators in pieces.
+struct resources {
+    std::int64_t cpu = 0;
+    std::int64_t memory = 0;
+    std::int64_t accelerators = 0;
+
+    resources& operator+=(const resources& other);
+    resources& operator-=(const resources& other);
+    // True if `other` fits in what is left here.
+    bool holds(const resources& other) const;
+    bool operator==(const resources&) const = default;
+};
+
+resources operator+(resources left, const resources& right);
+resources operator-(resources left, const resources& right);
+
+// One step of a job: `count` equal tasks that start once all tasks of earlier steps are done.
+struct step_spec {
+    std::uint32_t count = 0;
+    resources need; // of one task
+    time_ms estimate{0};
+    std::vector<std::uint32_t> depends_on; // earlier steps
+    bool checkpointing = false;
+    bool gang = false;     // all tasks of one run work together and end together
+    bool colocate = false; // slower if spread over racks
+    std::string required_label;
+    std::string data_rack;            // faster there
+    std::uint32_t max_per_worker = 0; // 0: no limit
+    bool speculative = false;         // copies may run in parallel
+    bool lasting = false;             // runs until the job is cancelled
+    std::string image;
+    time_ms target_tail{0};      // response time to stay below, of tasks with users of their own
+    bool filler = false;         // uses spare processor time: `need.cpu` is not counted
+    std::uint32_t may_miss = 0;  // tasks that may be unavailable at once by our own actions
+
+    bool operator==(const step_spec&) const = default;
+};
+
+// A job as submitted. With `times` of 0 it runs once and at once; otherwise occurrence K is due at
+// `start_at` + K x `interval` of wall-clock time.
+struct job_spec {
+    std::string payload; // handed to each task unchanged
+    std::vector<step_spec> steps;
+    std::uint32_t times = 0;
+    time_ms start_at{0};
+    time_ms interval{0};
+
+    bool operator==(const job_spec&) const = default;
+};
+
+// A queue of jobs, selected by host and longest path prefix.
+struct queue_config {
+    std::string name;
+    std::string host;
+    std::string prefix;
+    std::string pool; // whose workers run its tasks
+    time_ms timeout{0};
+    time_ms target_latency{0};
+    std::int64_t priority = 0; // 0 goes first
+    std::uint32_t attempts = 1;
+    double stretch = 1.0;          // allowed ratio of a job's time to its longest chain of work
+    bool needs_placement_advice = false; // only workers named by the advice service may be used
+};
+
+// A pool of workers that serve the queues of one service.
+struct pool_config {
+    std::string name;
+    bool rejects_overload = false; // its workers refuse what does not fit
+    bool standby = false;          // its machines are switched off
+};
+
+// The operators' configuration in force. `document` is what they sent, returned unchanged.
+struct configuration {
+    std::uint64_t version = 0;
+    std::vector<queue_config> queues;
+    std::vector<pool_config> pools;
+    std::string document;
+
+    const queue_config* find_queue(std::string_view name) const;
+    const pool_config* find_pool(std::string_view name) const;
+    // Queue for a request: the host's longest prefix that the path begins with, or nullptr.
+    const queue_config* route(std::string_view host, std::string_view path) const;
+};
+
+// Name of one task: member `index` of a step of occurrence `occurrence` of a job.
+struct task_id {
+    std::string job;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+
+    auto operator<=>(const task_id&) const = default;
+};
+
+// One life of a worker. A restart under the same id has another start time.
+struct worker_ref {
+    std::string id;
+    std::int64_t born = 0; // ms since 1970, from the worker
+
+    auto operator<=>(const worker_ref&) const = default;
+};
+
+// How a run ended, from the worker's list.
+enum class run_end { done, failed, stopped, lapsed, broken, alone };
+
+inline constexpr name_table<6> run_end_names{"done",   "failed", "stopped",
+                                             "lapsed", "broken", "alone"};
+constexpr const auto& names_of(run_end) {
+    return run_end_names;
+}
+
+// A worker's announcement of itself.
+struct worker_report {
+    worker_ref worker;
+    std::string pool;
+    std::string address; // IP:port
+    std::string zone;
+    std::vector<std::string> labels; // the kind, then the rack
+    resources capacity;
+    bool draining = false;
+    time_ms drain_remaining{0}; // while draining, the least time left
+    time_ms clock{0};           // steady clock of the worker
+    std::uint64_t sequence = 0; // rises within one life
+};
+
+// A run on a worker, from its list.
+struct running_task {
+    task_id task;
+    std::uint32_t run = 0;
+    std::string checkpoint; // empty: none
+    int percent = 0;        // of its work; 100 for a lasting task that is at work
+    std::int64_t load = 0;  // tail in ms for tasks with users, processor use for others
+};
+
+struct ended_task {
+    std::uint64_t number = 0; // rises within one life of the worker
+    task_id task;
+    std::uint32_t run = 0;
+    run_end how = run_end::failed;
+    std::string checkpoint;
+};
+
+// Answer to a request for a worker's lists.
+struct worker_lists {
+    time_ms clock{0};
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+};
+
+enum class machine_state { up, moving, upkeep, down };
+
+inline constexpr name_table<4> machine_state_names{"up", "moving", "upkeep", "down"};
+constexpr const auto& names_of(machine_state) {
+    return machine_state_names;
+}
+
+// A machine of the platform and the worker that it runs now.
+struct machine_report {
+    std::string machine;
+    std::string pool;
+    machine_state state = machine_state::down;
+    std::vector<std::string> labels;
+    resources capacity;
+    std::string worker; // id, empty if none
+};
+
+// A wave of upkeep that operators ordered: each machine goes down once, at most `cap` at a time.
+struct wave_order {
+    std::uint64_t number = 0;
+    std::vector<std::string> machines;
+    time_ms duration{0};
+    std::uint32_t cap = 1;
+};
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/worker_table.cpp
@@ -0,0 +1,46 @@
+#include "workload/worker_table.h"
+
+#include <utility>
+
+namespace clementine::workload {
+
+bool worker::lease_over(time_ms now) const {
+    if (now < inherited_lease_end)
+        return false;
+    if (lease_until == 0)
+        return true;
+    const auto elapsed = static_cast<double>(now - clock_seen_at) * slow_clock_rate;
+    return clock + static_cast<time_ms>(elapsed) > lease_until;
+}
+
+time_ms worker::lease_to_grant(time_ms now) const {
+    return clock + (now - clock_seen_at) + worker_lease;
+}
+
+live_run* worker::find(const task_id& task, std::uint32_t run) {
+    const auto at = runs.find({task, run});
+    return at == runs.end() ? nullptr : &at->second;
+}
+
+live_run& worker::add(live_run value) {
+    used += value.need;
+    run_key key{value.task, value.run};
+    return runs.emplace(std::move(key), std::move(value)).first->second;
+}
+
+void worker::remove(const run_key& key) {
+    const auto at = runs.find(key);
+    if (at == runs.end())
+        return;
+    used -= at->second.need;
+    runs.erase(at);
+}
+
+resources occupied(const step_spec& step) {
+    auto out = step.need;
+    if (step.filler)
+        out.cpu = 0;
+    return out;
+}
+
+} // namespace clementine::workload
