Move machines with demand, and maintain them in waves

Change: machine_manager (moves, rest, upkeep under the availability limit of lasting steps, one holder with rising fences), surge_forecast (offered work, order of surges).

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -400,6 +400,7 @@
             .field("reason", "queues with placement advice are not supported");
         return reply(answer(request.id, status_unavailable));
     }
+    controller_.offered(queue, id, *spec, clock_.now());
     const auto load = controller_.load_of(queue.pool);
     const auto decision = controller_.consider(queue, *spec);
     log_event(log_level::info, decision.accepted ? "job_accepted" : "job_refused")
@@ -408,6 +409,7 @@
         .field("version", table_.config().version)
         .field("work_left", load.work_left)
         .field("capacity", load.capacity)
+        .field("arriving", load.arriving)
         .field("retry_after_ms", decision.retry_after);
     metrics_.add("clementine_jobs",
                  {{"queue", queue.name}, {"outcome", decision.accepted ? "accepted" : "refused"}});
@@ -679,6 +681,12 @@
         controller_.observe(*stop, result.answer, now);
     else if (const auto* pace = std::get_if<pace_order>(&value))
         controller_.observe(*pace, result.answer, now);
+    else if (const auto* move = std::get_if<move_order>(&value))
+        controller_.observe(*move, result.answer, now);
+    else if (const auto* upkeep = std::get_if<upkeep_order>(&value))
+        controller_.observe(*upkeep, result.answer, now);
+    else
+        controller_.observe(result.machines, result.answer, now);
     request_round();
 }
 
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -36,6 +36,7 @@
 constexpr int refusals_to_end = 2;
 // A worker that has not announced itself for this long is dropped once its leases are over.
 constexpr time_ms silent_worker_limit{20'000};
+constexpr time_ms machine_plan_interval{100};
 
 std::string label_at(const std::vector<std::string>& labels, std::size_t index) {
     return index < labels.size() ? labels[index] : std::string();
@@ -44,13 +45,14 @@
 } // namespace
 
 controller::controller(const job_table& table, controller_settings settings)
-    : table_(table), settings_(std::move(settings)) {}
+    : table_(table), settings_(std::move(settings)), machines_(table, settings_.machines) {}
 
 void controller::lead(std::uint64_t fence, time_ms now) {
     stop_leading();
     fence_ = fence;
     lead_since_ = now;
     inherit_runs(now);
+    machines_.lead(fence, now);
 }
 
 void controller::stop_leading() {
@@ -149,6 +151,8 @@
 }
 
 bool controller::observe(const worker_report& report, time_ms now) {
+    if (ended_lives_.contains(report.worker))
+        return false;
     const auto holder = at_address_.find(report.address);
     if (holder != at_address_.end() && holder->second != report.worker.id) {
         auto& other = workers_.at(holder->second);
@@ -449,6 +453,57 @@
         run->pace = order.percent;
 }
 
+void controller::end_life_on(const std::string& machine) {
+    const auto at = workers_.find(machines_.worker_on(machine));
+    if (at == workers_.end())
+        return;
+    ended_lives_.insert(at->second.ref);
+    forget_life(at->second, "machine ordered away");
+    drop_worker(std::string(at->first));
+}
+
+void controller::observe(const move_order& order, order_answer answer, time_ms now) {
+    if (order.fence == fence_ && machines_.observe(order, answer, now))
+        end_life_on(order.machine);
+}
+
+void controller::observe(const upkeep_order& order, order_answer answer, time_ms now) {
+    if (order.fence != fence_ || !machines_.observe(order, answer, now))
+        return;
+    end_life_on(order.machine);
+    out_.log.emplace_back(mark_upkeep{order.wave, order.machine, upkeep_phase::done});
+}
+
+void controller::observe(const std::vector<machine_report>& machines, order_answer answer,
+                         time_ms now) {
+    machines_.observe(machines, answer, now);
+}
+
+void controller::offered(const queue_config& queue, const std::string& id, const job_spec& spec,
+                         time_ms now) {
+    if (!std::ranges::any_of(spec.steps, &step_spec::lasting) && spec.times == 0)
+        forecast_.offered(queue.pool, id, estimated_work(spec, estimate_rate(queue.name)), now);
+}
+
+// Load pattern: see surge_forecast.h and machine_manager.h.
+std::map<std::string, pool_demand> controller::measure_demand(time_ms now) const {
+    // Room for uneven packing of tasks on workers.
+    constexpr double headroom = 1.25;
+    // Work that waits is to be done within this time.
+    constexpr time_ms backlog_time{1'500};
+    constexpr time_ms contact_time{300};
+    std::map<std::string, pool_demand> out;
+    for (const auto& pool : table_.config().pools) {
+        const auto load = load_of(pool.name);
+        const auto ahead = machines_.move_time() + contact_time;
+        const auto rate = forecast_.expected(pool.name, now, ahead);
+        const auto backlog = load.work_left / backlog_time;
+        out[pool.name].wanted = static_cast<std::int64_t>(
+            headroom * static_cast<double>(std::max(rate, backlog)));
+    }
+    return out;
+}
+
 void controller::committed(const decisions& done, const std::vector<bool>& accepted,
                            time_ms now) {
     if (!leading())
@@ -808,6 +863,11 @@
     retire_lives(now);
     for (auto& [id, item] : workers_)
         review_runs(item, now);
+    if (now - machines_planned_at_ >= machine_plan_interval) {
+        machines_planned_at_ = now;
+        forecast_.update(now);
+        machines_.decide(workers_, measure_demand(now), now, wall, out_.log, out_.orders);
+    }
     place(now, wall);
     issue_holds(now);
     return std::exchange(out_, {});
@@ -825,6 +885,7 @@
                 out.capacity -= run.need.cpu;
         }
     }
+    out.arriving = machines_.arriving(pool);
     for (const auto& id : table_.open_jobs()) {
         const auto& item = *table_.find_job(id);
         if (!item.ended() && !item.lasting() && item.spec.times == 0 && pool_of(item) == pool)
@@ -842,11 +903,20 @@
     input.stretch = queue.stretch;
     input.lasting = std::ranges::any_of(spec.steps, &step_spec::lasting);
     input.scheduled = spec.times > 0;
+    input.wait = expected_wait(load, machines_.move_time());
+    return admit(input);
+}
+
+time_ms expected_wait(const pool_load& load, time_ms move_time) {
     // Nothing is known of the workers yet, or all are gone: the work waits for them.
     constexpr time_ms unknown_wait{60'000};
-    input.wait = load.capacity > 0 ? load.work_left / load.capacity
-                                   : (load.work_left > 0 ? unknown_wait : 0);
-    return admit(input);
+    const auto before = load.capacity * move_time;
+    if (load.work_left <= before && load.capacity > 0)
+        return load.work_left / load.capacity;
+    const auto later = load.capacity + load.arriving;
+    if (later <= 0)
+        return load.work_left > 0 ? unknown_wait : 0;
+    return move_time + (load.work_left - before) / later;
 }
 
 std::size_t controller::pending(const std::string& queue) const {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -6,7 +6,9 @@
 #pragma once
 
 #include "workload/admission.h"
+#include "workload/machine_manager.h"
 #include "workload/placement.h"
+#include "workload/surge_forecast.h"
 
 #include <map>
 #include <set>
@@ -16,9 +18,9 @@
 namespace clementine::workload {
 
 struct controller_settings {
-    std::string node;           // holder of machine orders
-    time_ms stop_time{0};       // longest time that a worker takes to stop a run
-    time_ms restore_time{0};    // until a task that resumes from a checkpoint is at work
+    time_ms stop_time{0};    // longest time that a worker takes to stop a run
+    time_ms restore_time{0}; // until a task that resumes from a checkpoint is at work
+    machine_settings machines;
 };
 
 // Ends up to `number` on one worker, whose operations are part of the same decisions.
@@ -36,10 +38,14 @@
 // Load of one pool, for admission and for moves.
 struct pool_load {
     std::int64_t capacity = 0; // thousandths of a core that short tasks may use
+    std::int64_t arriving = 0; // and of machines that are on their way
     std::int64_t work_left = 0; // thousandths of a core times ms that were taken and not done
     std::size_t workers = 0;
 };
 
+// Time until work that comes now can start; `move_time` until arriving machines are there.
+time_ms expected_wait(const pool_load& load, time_ms move_time);
+
 class controller {
   public:
     controller(const job_table& table, controller_settings settings);
@@ -58,6 +64,12 @@
     void observe(const start_order& order, order_answer answer, time_ms now);
     void observe(const stop_order& order, order_answer answer, time_ms now);
     void observe(const pace_order& order, order_answer answer, time_ms now);
+    void observe(const move_order& order, order_answer answer, time_ms now);
+    void observe(const upkeep_order& order, order_answer answer, time_ms now);
+    void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
+    // A job was offered, whether it is taken or not.
+    void offered(const queue_config& queue, const std::string& id, const job_spec& spec,
+                 time_ms now);
     // The operations of a `decide` were committed; `accepted` as told by the job table.
     void committed(const decisions& done, const std::vector<bool>& accepted, time_ms now);
     // The log took none of the operations of a `decide`.
@@ -105,6 +117,8 @@
     void issue_holds(time_ms now);
     std::vector<ready_step> ready_steps(time_ms now, time_ms wall) const;
     void place(time_ms now, time_ms wall);
+    std::map<std::string, pool_demand> measure_demand(time_ms now) const;
+    void end_life_on(const std::string& machine);
     void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     bool place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     void propose_start(const task_id& id, const task& item, worker& on, std::uint32_t run,
@@ -122,6 +136,10 @@
     std::set<task_id> starting_;    // proposed to the log
     std::map<task_id, std::string> failed_on_; // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
+    std::set<worker_ref> ended_lives_; // their machines were ordered away
+    surge_forecast forecast_;
+    machine_manager machines_;
+    time_ms machines_planned_at_{0};
     decisions out_;
     decisions retry_; // operations that the log did not take
 };
--- /dev/null
+++ b/src/workload/machine_manager.cpp
@@ -0,0 +1,443 @@
+#include "workload/machine_manager.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace clementine::workload {
+
+namespace {
+
+constexpr time_ms plan_interval{100};
+// The list is read this often while something is going on; each reading has a price.
+constexpr time_ms list_interval{1'000};
+// And this long after an order, to see its effect.
+constexpr time_ms list_after_order{300};
+constexpr time_ms list_retry{400};
+// An order without a clear answer is repeated after this time.
+constexpr time_ms order_retry{700};
+// A machine that is not needed goes to the standby pool after this time without work. A move and
+// the way back cost as much as some 2 s of a machine in a pool.
+constexpr time_ms rest_after{1'800};
+// A machine that has just come back is reported by its worker after this time at the latest.
+constexpr time_ms settle_time{1'000};
+// Part of a wave's time that is used; the rest is for machines that come back late.
+constexpr double wave_time_used = 0.8;
+// A machine that the platform has not listed for this long has been taken away.
+constexpr time_ms unlisted_limit{4'000};
+// Spare processor of a pool that is kept for stray jobs, in thousandths of a core.
+constexpr std::int64_t least_wanted{8'000};
+
+bool is_at_work(const live_run& run) {
+    constexpr int all = 100;
+    return run.lasting && run.stage == run_stage::listed && !run.stop_wanted && run.percent >= all;
+}
+
+bool same_step(const task_id& a, const task_id& b) {
+    return a.step == b.step && a.occurrence == b.occurrence && a.job == b.job;
+}
+
+} // namespace
+
+std::uint32_t at_work(const std::map<std::string, worker>& workers, const task_id& any_of_step) {
+    std::uint32_t out = 0;
+    for (const auto& [id, item] : workers) {
+        for (const auto& [key, run] : item.runs)
+            out += same_step(run.task, any_of_step) && is_at_work(run) ? 1U : 0U;
+    }
+    return out;
+}
+
+machine_manager::machine_manager(const job_table& table, machine_settings settings)
+    : table_(table), settings_(std::move(settings)) {}
+
+void machine_manager::lead(std::uint64_t fence, time_ms now) {
+    fence_ = fence;
+    machines_.clear();
+    holder_proposed_ = false;
+    list_under_way_ = false;
+    listed_at_ = 0;
+    list_due_at_ = now;
+    // Another node may have given orders until a moment ago.
+    const bool other = !table_.machines_holder().empty() &&
+                       table_.machines_holder() != settings_.node;
+    orders_from_ = other ? now + settings_.holder_turn : now;
+}
+
+void machine_manager::holder_committed(time_ms now) {
+    orders_from_ = std::max(orders_from_, now);
+}
+
+bool machine_manager::may_order(time_ms now, std::vector<operation>& log) {
+    if (!settings_.available)
+        return false;
+    if (table_.machines_holder() != settings_.node) {
+        if (!std::exchange(holder_proposed_, true))
+            log.emplace_back(hold_machines{settings_.node});
+        return false;
+    }
+    return now >= orders_from_ && listed_at_ != 0;
+}
+
+std::string machine_manager::worker_on(const std::string& machine) const {
+    const auto at = machines_.find(machine);
+    return at == machines_.end() ? std::string() : at->second.report.worker;
+}
+
+void machine_manager::observe(const std::vector<machine_report>& machines, order_answer answer,
+                              time_ms now) {
+    list_under_way_ = false;
+    if (answer != order_answer::done) {
+        list_due_at_ = now + list_retry;
+        log_event(log_level::warning, "machines_not_listed").field("answer", to_name(answer));
+        return;
+    }
+    listed_at_ = now;
+    list_due_at_ = now + list_interval;
+    for (const auto& report : machines) {
+        auto& item = machines_[report.machine];
+        const bool busy = item.order_under_way || now - item.ordered_at < list_after_order;
+        item.report = report;
+        item.listed_at = now;
+        if (busy || report.state != machine_state::up)
+            continue;
+        if (item.moving_to && report.pool == *item.moving_to)
+            item.moving_to.reset();
+        if (item.upkeep_wave != 0 && now - item.ordered_at > settings_.upkeep_time)
+            item.upkeep_wave = 0;
+    }
+}
+
+bool machine_manager::observe(const move_order& order, order_answer answer, time_ms now) {
+    auto& item = machines_[order.machine];
+    item.order_under_way = false;
+    list_due_at_ = std::min(list_due_at_, now + settings_.move_time);
+    log_event(log_level::info, "machine_move")
+        .field("machine", order.machine)
+        .field("pool", order.pool)
+        .field("answer", to_name(answer))
+        .field("fence", order.fence);
+    if (answer == order_answer::done)
+        return true;
+    if (answer == order_answer::no_answer)
+        return false; // repeated until it is clear
+    item.moving_to.reset();
+    if (answer == order_answer::invalid)
+        refused_.emplace(order.machine, order.pool);
+    return false;
+}
+
+bool machine_manager::observe(const upkeep_order& order, order_answer answer, time_ms now) {
+    auto& item = machines_[order.machine];
+    item.order_under_way = false;
+    list_due_at_ = std::min(list_due_at_, now + settings_.upkeep_time);
+    log_event(log_level::info, "machine_upkeep")
+        .field("machine", order.machine)
+        .field("wave", order.wave)
+        .field("answer", to_name(answer))
+        .field("fence", order.fence);
+    if (answer == order_answer::done) {
+        item.ordered_at = now;
+        return true;
+    }
+    if (answer != order_answer::no_answer)
+        item.upkeep_wave = 0;
+    return false;
+}
+
+const worker* machine_manager::worker_of(const managed_machine& item,
+                                         const worker_map& workers) const {
+    const auto at = workers.find(item.report.worker);
+    return at == workers.end() ? nullptr : &at->second;
+}
+
+// True if nothing runs on a machine, as far as anybody knows, and nothing is about to.
+bool machine_manager::is_idle(const managed_machine& item, const worker_map& workers,
+                              time_ms now) const {
+    if (item.report.state != machine_state::up || item.order_under_way || item.moving_to ||
+        item.upkeep_wave != 0 || now - item.listed_at > 2 * list_interval)
+        return false;
+    if (item.report.worker.empty())
+        return true;
+    const auto* on = worker_of(item, workers);
+    return on && on->contacted && !on->hold_unanswered && !on->draining && on->runs.empty();
+}
+
+void machine_manager::note_idle(const worker_map& workers, time_ms now) {
+    for (auto& [name, item] : machines_) {
+        if (!is_idle(item, workers, now))
+            item.idle_since = 0;
+        else if (item.idle_since == 0)
+            item.idle_since = now;
+    }
+}
+
+std::set<std::string> machine_manager::standby_pools() const {
+    std::set<std::string> out;
+    for (const auto& pool : table_.config().pools) {
+        if (pool.standby)
+            out.insert(pool.name);
+    }
+    return out;
+}
+
+std::int64_t machine_manager::arriving(const std::string& pool) const {
+    std::int64_t out = 0;
+    for (const auto& [name, item] : machines_) {
+        if (item.moving_to && *item.moving_to == pool)
+            out += item.report.capacity.cpu;
+    }
+    return out;
+}
+
+// A reservation ends when the machine has nothing ordered or due any more.
+void machine_manager::release_reservations(worker_map& workers) const {
+    for (auto& [id, item] : workers) {
+        item.reserved = false;
+        item.upkeep_due = false;
+    }
+    for (const auto& [name, item] : machines_) {
+        const auto at = workers.find(item.report.worker);
+        if (at != workers.end() && (item.moving_to || item.upkeep_wave != 0))
+            at->second.reserved = true;
+    }
+    for (const auto& [number, item] : table_.waves()) {
+        for (const auto& [machine, phase] : item.machines) {
+            const auto known = machines_.find(machine);
+            if (phase == upkeep_phase::done || known == machines_.end())
+                continue;
+            const auto at = workers.find(known->second.report.worker);
+            if (at != workers.end())
+                at->second.upkeep_due = true;
+        }
+    }
+}
+
+// True if the lasting tasks on a worker may end now. A step with several tasks there gives them up
+// one after the other first.
+bool machine_manager::clear_for_upkeep(worker& on, worker_map& workers) const {
+    bool clear = true;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> seen;
+    for (auto& [key, run] : on.runs) {
+        if (!run.lasting) {
+            clear = false; // short tasks end by themselves
+            continue;
+        }
+        const auto* owner = table_.find_job(run.task.job);
+        if (!owner || owner->ended())
+            continue;
+        const auto& step = owner->spec.steps[run.task.step];
+        if (step.may_miss == 0 ||
+            !seen.emplace(run.task.job, run.task.occurrence, run.task.step).second)
+            continue;
+        std::uint32_t here = 0;
+        for (const auto& [other_key, other] : on.runs)
+            here += same_step(other.task, run.task) && is_at_work(other) ? 1U : 0U;
+        const auto away = step.count - std::min(step.count, at_work(workers, run.task));
+        if (away + here <= step.may_miss)
+            continue;
+        clear = false;
+        if (away == 0 && here > step.may_miss && is_at_work(run)) {
+            log_event(log_level::info, "run_evacuated")
+                .field("job", run.task.job)
+                .field("index", run.task.index)
+                .field("worker", on.ref.id)
+                .field("reason", "upkeep");
+            run.stop_wanted = true;
+        }
+    }
+    return clear;
+}
+
+void machine_manager::plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
+                                std::vector<operation>& log, std::vector<order>& orders) {
+    std::uint32_t down = 0;
+    std::vector<managed_machine*> due;
+    for (const auto& [name, phase] : item.machines) {
+        const auto known = machines_.find(name);
+        if (known == machines_.end()) {
+            if (phase != upkeep_phase::done && now - orders_from_ > unlisted_limit)
+                log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
+            continue;
+        }
+        auto& machine = known->second;
+        if (machine.upkeep_wave != 0 || machine.report.state == machine_state::upkeep) {
+            ++down;
+            // An answer that did not come is asked for again: the order is idempotent.
+            if (machine.upkeep_wave != 0 && phase != upkeep_phase::done &&
+                !machine.order_under_way && now - machine.ordered_at > order_retry) {
+                machine.order_under_way = true;
+                machine.ordered_at = now;
+                orders.emplace_back(upkeep_order{name, item.order.number, fence_});
+            }
+            continue;
+        }
+        if (phase == upkeep_phase::done)
+            continue;
+        if (now - machine.listed_at > unlisted_limit) {
+            log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
+            continue;
+        }
+        if (machine.report.state == machine_state::up && !machine.moving_to &&
+            !machine.order_under_way)
+            due.push_back(&machine);
+    }
+    if (due.empty() || down >= item.order.cap)
+        return;
+    const auto end = item.accepted_at + static_cast<time_ms>(wave_time_used *
+                                                             static_cast<double>(
+                                                                 item.order.duration));
+    const auto left = std::max<time_ms>(1, end - wall);
+    const auto each = settings_.upkeep_time + settle_time;
+    const auto needed = static_cast<std::uint32_t>(
+        (static_cast<time_ms>(due.size()) * each + left - 1) / left);
+    std::ranges::stable_sort(due, [&](const auto* a, const auto* b) {
+        const auto runs = [&](const auto* machine) {
+            const auto* on = worker_of(*machine, workers);
+            return on ? on->runs.size() : 0;
+        };
+        return runs(a) < runs(b);
+    });
+    for (auto* machine : due) {
+        if (down >= item.order.cap)
+            return;
+        const auto at = workers.find(machine->report.worker);
+        auto* on = at == workers.end() ? nullptr : &at->second;
+        if (on && !on->runs.empty()) {
+            if (down >= needed)
+                return;
+            if (!on->contacted || on->hold_unanswered)
+                continue;
+            ++down;
+            on->reserved = true;
+            if (!clear_for_upkeep(*on, workers))
+                continue;
+            for (auto& [key, run] : on->runs)
+                run.stop_wanted = true; // they end with the machine, and count as away from now on
+        } else {
+            ++down;
+        }
+        if (on)
+            on->reserved = true;
+        machine->order_under_way = true;
+        machine->ordered_at = now;
+        machine->upkeep_wave = item.order.number;
+        orders.emplace_back(upkeep_order{machine->report.machine, item.order.number, fence_});
+    }
+}
+
+void machine_manager::plan_upkeep(worker_map& workers, time_ms now, time_ms wall,
+                                  std::vector<operation>& log, std::vector<order>& orders) {
+    for (const auto& [number, item] : table_.waves()) {
+        if (!item.completed())
+            plan_wave(item, workers, now, wall, log, orders);
+    }
+}
+
+void machine_manager::order_move(managed_machine& item, const std::string& pool,
+                                 worker_map& workers, time_ms now, std::vector<order>& orders) {
+    const auto at = workers.find(item.report.worker);
+    if (at != workers.end())
+        at->second.reserved = true;
+    item.order_under_way = true;
+    item.ordered_at = now;
+    item.moving_to = pool;
+    item.idle_since = 0;
+    orders.emplace_back(move_order{item.report.machine, pool, fence_});
+}
+
+void machine_manager::plan_moves(worker_map& workers,
+                                 const std::map<std::string, pool_demand>& demand, time_ms now,
+                                 std::vector<order>& orders) {
+    const auto standby = standby_pools();
+    // Processor for short tasks of each pool, with machines on their way.
+    std::map<std::string, std::int64_t> supply;
+    for (auto& [name, item] : machines_) {
+        if (item.moving_to) {
+            supply[*item.moving_to] += item.report.capacity.cpu;
+            if (!item.order_under_way && now - item.ordered_at > order_retry &&
+                item.report.state == machine_state::up && item.report.pool != *item.moving_to &&
+                now - item.listed_at < order_retry) {
+                item.order_under_way = true;
+                item.ordered_at = now;
+                orders.emplace_back(move_order{name, *item.moving_to, fence_});
+            }
+            continue;
+        }
+        if (item.report.state == machine_state::down || item.upkeep_wave != 0)
+            continue;
+        const auto* on = worker_of(item, workers);
+        if (on && (on->draining || on->hold_unanswered || on->reserved))
+            continue;
+        supply[item.report.pool] += item.report.capacity.cpu;
+        if (!on)
+            continue;
+        for (const auto& [key, run] : on->runs) {
+            if (run.lasting)
+                supply[item.report.pool] -= run.need.cpu;
+        }
+    }
+    std::map<std::string, std::int64_t> missing;
+    for (const auto& pool : table_.config().pools) {
+        if (pool.standby)
+            continue;
+        const auto at = demand.find(pool.name);
+        const auto wanted = std::max(least_wanted, at == demand.end() ? 0 : at->second.wanted);
+        missing[pool.name] = wanted - supply[pool.name];
+    }
+    std::vector<managed_machine*> idle;
+    for (auto& [name, item] : machines_) {
+        const auto* on = worker_of(item, workers);
+        if (item.idle_since != 0 && is_idle(item, workers, now) && !(on && on->reserved))
+            idle.push_back(&item);
+    }
+    // Resting machines first, then those that have been idle for longest.
+    std::ranges::stable_sort(idle, [&](const auto* a, const auto* b) {
+        return std::pair(!standby.contains(a->report.pool), a->idle_since) <
+               std::pair(!standby.contains(b->report.pool), b->idle_since);
+    });
+    for (auto* item : idle) {
+        const auto from = item->report.pool;
+        const auto cpu = item->report.capacity.cpu;
+        const bool resting = standby.contains(from);
+        if (!resting && missing[from] + cpu > 0)
+            continue; // needed where it is
+        auto target = std::ranges::max_element(
+            missing, [](const auto& a, const auto& b) { return a.second < b.second; });
+        std::string pool;
+        if (target != missing.end() && target->second > 0 && target->first != from)
+            pool = target->first;
+        else if (!resting && !standby.empty() && now - item->idle_since >= rest_after)
+            pool = *standby.begin();
+        if (pool.empty() || refused_.contains({item->report.machine, pool}))
+            continue;
+        if (!resting)
+            missing[from] += cpu;
+        if (missing.contains(pool))
+            missing[pool] -= cpu;
+        order_move(*item, pool, workers, now, orders);
+    }
+}
+
+void machine_manager::decide(worker_map& workers,
+                             const std::map<std::string, pool_demand>& demand, time_ms now,
+                             time_ms wall, std::vector<operation>& log,
+                             std::vector<order>& orders) {
+    if (!settings_.available || now - planned_at_ < plan_interval)
+        return;
+    planned_at_ = now;
+    if (!list_under_way_ && now >= list_due_at_ && table_.config().version != 0) {
+        list_under_way_ = true;
+        orders.emplace_back(list_machines_order{});
+    }
+    if (!may_order(now, log))
+        return;
+    release_reservations(workers);
+    note_idle(workers, now);
+    plan_upkeep(workers, now, wall, log, orders);
+    plan_moves(workers, demand, now, orders);
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/src/workload/machine_manager.h
@@ -0,0 +1,100 @@
+// Decides which machines move between pools, rest in a standby pool or go down for upkeep.
+//
+// Load pattern: one queue at a time asks for more than its pool holds, while the other pools are
+// nearly idle; waves of upkeep run at the same time. Only machines without runs are moved. A
+// machine with lasting tasks goes down only while enough others of their steps are at work.
+#pragma once
+
+#include "workload/orders.h"
+#include "workload/worker_table.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace clementine::workload {
+
+struct machine_settings {
+    std::string node;         // holder of the orders
+    bool available = false;   // the platform takes orders about machines
+    time_ms holder_turn{0};   // pause between the orders of two holders
+    time_ms move_time{0};     // a machine is away for this long when it moves
+    time_ms upkeep_time{0};
+};
+
+// What a pool is asked to do.
+struct pool_demand {
+    std::int64_t wanted = 0;  // processor for short tasks, thousandths of a core
+};
+
+struct managed_machine {
+    machine_report report;
+    bool order_under_way = false;
+    time_ms ordered_at{0};
+    std::optional<std::string> moving_to; // until the list shows it there
+    std::uint64_t upkeep_wave = 0;        // ordered and not back yet; 0: none
+    time_ms idle_since{0};                // 0: not idle
+    time_ms listed_at{0};
+};
+
+class machine_manager {
+  public:
+    machine_manager(const job_table& table, machine_settings settings);
+
+    void lead(std::uint64_t fence, time_ms now);
+    void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
+    // True if everything on the machine's worker has ended.
+    bool observe(const move_order& order, order_answer answer, time_ms now);
+    bool observe(const upkeep_order& order, order_answer answer, time_ms now);
+    // Worker that ran on a machine when it was last listed; empty if unknown.
+    std::string worker_on(const std::string& machine) const;
+    void holder_committed(time_ms now);
+
+    // Adds operations and orders. `workers` are reserved for what is planned.
+    void decide(std::map<std::string, worker>& workers,
+                const std::map<std::string, pool_demand>& demand, time_ms now, time_ms wall,
+                std::vector<operation>& log, std::vector<order>& orders);
+
+    // Processor of machines that are on their way to a pool, in thousandths of a core.
+    std::int64_t arriving(const std::string& pool) const;
+    time_ms move_time() const { return settings_.move_time; }
+
+  private:
+    using worker_map = std::map<std::string, worker>;
+
+    bool may_order(time_ms now, std::vector<operation>& log);
+    bool wanted_list(time_ms now) const;
+    void note_idle(const worker_map& workers, time_ms now);
+    const worker* worker_of(const managed_machine& item, const worker_map& workers) const;
+    bool is_idle(const managed_machine& item, const worker_map& workers, time_ms now) const;
+    void release_reservations(worker_map& workers) const;
+    void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log,
+                     std::vector<order>& orders);
+    void plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
+                   std::vector<operation>& log, std::vector<order>& orders);
+    bool clear_for_upkeep(worker& on, worker_map& workers) const;
+    void plan_moves(worker_map& workers, const std::map<std::string, pool_demand>& demand,
+                    time_ms now, std::vector<order>& orders);
+    void order_move(managed_machine& item, const std::string& pool, worker_map& workers,
+                    time_ms now, std::vector<order>& orders);
+
+    const job_table& table_;
+    machine_settings settings_;
+    std::uint64_t fence_ = 0;
+    std::map<std::string, managed_machine> machines_;
+    std::set<std::string> standby_pools() const;
+    std::set<std::pair<std::string, std::string>> refused_; // machine and pool that do not match
+    bool holder_proposed_ = false;
+    time_ms orders_from_{0}; // no orders before
+    bool list_under_way_ = false;
+    time_ms listed_at_{0};
+    time_ms list_due_at_{0};
+    time_ms planned_at_{0};
+};
+
+// Lasting tasks of a step that are at work anywhere.
+std::uint32_t at_work(const std::map<std::string, worker>& workers, const task_id& any_of_step);
+
+} // namespace clementine::workload
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -15,6 +15,12 @@
 // Response times suffer from each other lasting task, and from fillers.
 constexpr std::int64_t shared_with_lasting_cost = 40'000;
 constexpr std::int64_t unproven_worker_cost = 10'000;
+// A machine with lasting tasks cannot be moved, so they share as few machines as possible.
+constexpr std::int64_t first_lasting_cost = 20'000;
+// A worker that goes down takes all its tasks of a step with it.
+constexpr std::int64_t same_step_cost = 100'000;
+// Its tasks will have to start again elsewhere.
+constexpr std::int64_t upkeep_due_cost = 30'000;
 
 struct occupancy {
     std::uint32_t of_step = 0;
@@ -37,6 +43,18 @@
     return out;
 }
 
+std::int64_t lasting_cost(const worker& candidate, const step_spec& step,
+                          const occupancy& there) {
+    std::int64_t cost = there.of_step * same_step_cost;
+    if (step.target_tail > 0 || there.fillers > 0)
+        cost += (there.serving + there.fillers) * shared_with_lasting_cost;
+    else if (there.serving == 0)
+        cost += first_lasting_cost;
+    if (candidate.upkeep_due)
+        cost += upkeep_due_cost;
+    return cost;
+}
+
 bool has_label(const worker& candidate, const std::string& label) {
     return label.empty() || candidate.kind == label || candidate.rack == label;
 }
@@ -45,7 +63,7 @@
 
 bool accepts_runs(const worker& candidate, time_ms now) {
     return candidate.reported && candidate.contacted && !candidate.draining &&
-           !candidate.leaving && !candidate.hold_unanswered &&
+           !candidate.leaving && !candidate.reserved && !candidate.hold_unanswered &&
            now >= candidate.health.shunned_until &&
            !(candidate.health.on_probation && !candidate.runs.empty());
 }
@@ -75,7 +93,7 @@
         if (step.filler)
             cost += (there.serving + there.fillers) * shared_with_lasting_cost;
         else if (step.lasting)
-            cost += (there.serving + there.fillers + there.of_step) * shared_with_lasting_cost;
+            cost += lasting_cost(*candidate, step, there);
         else
             cost += (candidate->free() - need).cpu;
         if (cost < best_cost) {
--- a/src/workload/placement.h
+++ b/src/workload/placement.h
@@ -25,9 +25,9 @@
 // True if a worker may get any new run now.
 bool accepts_runs(const worker& candidate, time_ms now);
 
-// Worker for one task, or nullptr if none has room. Lasting tasks spread over the workers with the
-// fewest of them; other tasks fill the fullest worker that still has room, which keeps whole
-// workers free for wide tasks and for moves.
+// Worker for one task, or nullptr if none has room. Lasting tasks of one step are spread, those of
+// different steps share workers; other tasks fill the fullest worker that still has room, which
+// keeps whole workers free for wide tasks and for moves.
 worker* choose_worker(const std::vector<worker*>& pool, const placement_request& request,
                       time_ms now);
 
