Size pools by tasks that could run and by the trend of offered work

Cause: admission counted running work as waiting and ignored machines at rest; demand counted steps whose turn had not come.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -407,7 +407,7 @@
         .field("job", id)
         .field("queue", queue.name)
         .field("version", table_.config().version)
-        .field("work_left", load.work_left)
+        .field("waiting_work", load.waiting_work)
         .field("capacity", load.capacity)
         .field("arriving", load.arriving)
         .field("retry_after_ms", decision.retry_after);
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -38,6 +38,12 @@
 constexpr time_ms silent_worker_limit{20'000};
 constexpr time_ms machine_plan_interval{100};
 
+bool dependencies_done(const job& owner, const occurrence& in, std::size_t step) {
+    return std::ranges::all_of(owner.spec.steps[step].depends_on, [&](std::uint32_t earlier) {
+        return in.steps[earlier].done == owner.spec.steps[earlier].count;
+    });
+}
+
 std::string label_at(const std::vector<std::string>& labels, std::size_t index) {
     return index < labels.size() ? labels[index] : std::string();
 }
@@ -488,18 +494,15 @@
 // Load pattern: see surge_forecast.h and machine_manager.h.
 std::map<std::string, pool_demand> controller::measure_demand(time_ms now) const {
     // Room for uneven packing of tasks on workers.
-    constexpr double headroom = 1.25;
-    // Work that waits is to be done within this time.
-    constexpr time_ms backlog_time{1'500};
+    constexpr double headroom = 1.2;
     constexpr time_ms contact_time{300};
     std::map<std::string, pool_demand> out;
     for (const auto& pool : table_.config().pools) {
-        const auto load = load_of(pool.name);
         const auto ahead = machines_.move_time() + contact_time;
-        const auto rate = forecast_.expected(pool.name, now, ahead);
-        const auto backlog = load.work_left / backlog_time;
-        out[pool.name].wanted = static_cast<std::int64_t>(
-            headroom * static_cast<double>(std::max(rate, backlog)));
+        const auto coming = forecast_.expected(pool.name, now, ahead);
+        const auto wanted = std::max(coming, load_of(pool.name).in_demand);
+        out[pool.name].wanted =
+            static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
     }
     return out;
 }
@@ -703,10 +706,7 @@
                 if (in.steps[s].waiting == 0)
                     continue;
                 const auto& spec = item.spec.steps[s];
-                const bool turn = std::ranges::all_of(spec.depends_on, [&](std::uint32_t earlier) {
-                    return in.steps[earlier].done == item.spec.steps[earlier].count;
-                });
-                if (!turn)
+                if (!dependencies_done(item, in, s))
                     continue;
                 if (std::exchange(first, false)) {
                     const auto chain = longest_chain(item.spec, rate);
@@ -885,15 +885,29 @@
                 out.capacity -= run.need.cpu;
         }
     }
-    out.arriving = machines_.arriving(pool);
+    out.arriving = machines_.arriving(pool) + machines_.resting();
     for (const auto& id : table_.open_jobs()) {
         const auto& item = *table_.find_job(id);
         if (!item.ended() && !item.lasting() && item.spec.times == 0 && pool_of(item) == pool)
-            out.work_left += remaining_work(item, estimate_rate(item.queue));
+            add_job_load(item, out);
     }
     return out;
 }
 
+void controller::add_job_load(const job& item, pool_load& load) const {
+    const auto rate = estimate_rate(item.queue);
+    for (const auto& in : item.occurrences) {
+        for (std::size_t i = 0; i < in.steps.size(); ++i) {
+            const auto& spec = item.spec.steps[i];
+            const auto& progress = in.steps[i];
+            load.waiting_work += static_cast<std::int64_t>(
+                rate * static_cast<double>(progress.waiting * spec.need.cpu * spec.estimate));
+            if (dependencies_done(item, in, i))
+                load.in_demand += (spec.count - progress.done) * spec.need.cpu;
+        }
+    }
+}
+
 admission controller::consider(const queue_config& queue, const job_spec& spec) const {
     const auto load = load_of(queue.pool);
     const auto rate = estimate_rate(queue.name);
@@ -911,12 +925,12 @@
     // Nothing is known of the workers yet, or all are gone: the work waits for them.
     constexpr time_ms unknown_wait{60'000};
     const auto before = load.capacity * move_time;
-    if (load.work_left <= before && load.capacity > 0)
-        return load.work_left / load.capacity;
+    if (load.waiting_work <= before && load.capacity > 0)
+        return load.waiting_work / load.capacity;
     const auto later = load.capacity + load.arriving;
     if (later <= 0)
-        return load.work_left > 0 ? unknown_wait : 0;
-    return move_time + (load.work_left - before) / later;
+        return load.waiting_work > 0 ? unknown_wait : 0;
+    return move_time + (load.waiting_work - before) / later;
 }
 
 std::size_t controller::pending(const std::string& queue) const {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -38,8 +38,9 @@
 // Load of one pool, for admission and for moves.
 struct pool_load {
     std::int64_t capacity = 0; // thousandths of a core that short tasks may use
-    std::int64_t arriving = 0; // and of machines that are on their way
-    std::int64_t work_left = 0; // thousandths of a core times ms that were taken and not done
+    std::int64_t arriving = 0;     // and of machines that are on their way, or could be
+    std::int64_t waiting_work = 0; // thousandths of a core times ms of tasks that were not started
+    std::int64_t in_demand = 0;    // processor of tasks that run or could run now
     std::size_t workers = 0;
 };
 
@@ -126,6 +127,8 @@
     std::string preferred_rack(const ready_step& item) const;
     double estimate_rate(const std::string& queue) const;
 
+    void add_job_load(const job& item, pool_load& load) const;
+
     const job_table& table_;
     controller_settings settings_;
     std::uint64_t fence_ = 0;
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -16,11 +16,12 @@
 // And this long after an order, to see its effect.
 constexpr time_ms list_after_order{300};
 constexpr time_ms list_retry{400};
+constexpr time_ms pool_log_interval{500};
 // An order without a clear answer is repeated after this time.
 constexpr time_ms order_retry{700};
-// A machine that is not needed goes to the standby pool after this time without work. A move and
-// the way back cost as much as some 2 s of a machine in a pool.
-constexpr time_ms rest_after{1'800};
+// A machine that is not needed goes to the standby pool after this time without work. A move costs
+// as much as 1.1 s of a machine in a pool.
+constexpr time_ms rest_after{800};
 // A machine that has just come back is reported by its worker after this time at the latest.
 constexpr time_ms settle_time{1'000};
 // Part of a wave's time that is used; the rest is for machines that come back late.
@@ -192,6 +193,16 @@
     return out;
 }
 
+std::int64_t machine_manager::resting() const {
+    const auto standby = standby_pools();
+    std::int64_t out = 0;
+    for (const auto& [name, item] : machines_) {
+        if (item.idle_since != 0 && standby.contains(item.report.pool))
+            out += item.report.capacity.cpu;
+    }
+    return out;
+}
+
 // A reservation ends when the machine has nothing ordered or due any more.
 void machine_manager::release_reservations(worker_map& workers) const {
     for (auto& [id, item] : workers) {
@@ -348,6 +359,26 @@
     orders.emplace_back(move_order{item.report.machine, pool, fence_});
 }
 
+void machine_manager::log_pools(const std::map<std::string, pool_demand>& demand,
+                                const std::map<std::string, std::int64_t>& supply, time_ms now) {
+    if (now - logged_at_ < pool_log_interval)
+        return;
+    logged_at_ = now;
+    for (const auto& [pool, one] : demand) {
+        const auto at = supply.find(pool);
+        int idle = 0;
+        for (const auto& [name, item] : machines_)
+            idle += item.report.pool == pool && item.idle_since != 0 ? 1 : 0;
+        log_event(log_level::info, "pool_state")
+            .field("pool", pool)
+            .field("wanted_cpu", one.wanted)
+            .field("supply_cpu", at == supply.end() ? std::int64_t{0} : at->second)
+            .field("arriving_cpu", arriving(pool))
+            .field("idle_machines", idle)
+            .field("list_age_ms", now - listed_at_);
+    }
+}
+
 void machine_manager::plan_moves(worker_map& workers,
                                  const std::map<std::string, pool_demand>& demand, time_ms now,
                                  std::vector<order>& orders) {
@@ -387,6 +418,7 @@
         const auto wanted = std::max(least_wanted, at == demand.end() ? 0 : at->second.wanted);
         missing[pool.name] = wanted - supply[pool.name];
     }
+    log_pools(demand, supply, now);
     std::vector<managed_machine*> idle;
     for (auto& [name, item] : machines_) {
         const auto* on = worker_of(item, workers);
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -59,6 +59,8 @@
 
     // Processor of machines that are on their way to a pool, in thousandths of a core.
     std::int64_t arriving(const std::string& pool) const;
+    // Processor of idle machines in standby pools.
+    std::int64_t resting() const;
     time_ms move_time() const { return settings_.move_time; }
 
   private:
@@ -77,6 +79,8 @@
     bool clear_for_upkeep(worker& on, worker_map& workers) const;
     void plan_moves(worker_map& workers, const std::map<std::string, pool_demand>& demand,
                     time_ms now, std::vector<order>& orders);
+    void log_pools(const std::map<std::string, pool_demand>& demand,
+                   const std::map<std::string, std::int64_t>& supply, time_ms now);
     void order_move(managed_machine& item, const std::string& pool, worker_map& workers,
                     time_ms now, std::vector<order>& orders);
 
@@ -92,6 +96,7 @@
     time_ms listed_at_{0};
     time_ms list_due_at_{0};
     time_ms planned_at_{0};
+    time_ms logged_at_{0};
 };
 
 // Lasting tasks of a step that are at work anywhere.
--- a/src/workload/surge_forecast.cpp
+++ b/src/workload/surge_forecast.cpp
@@ -18,6 +18,8 @@
 constexpr time_ms least_gap{2'000};
 // A job that is offered again within this time is the same one.
 constexpr time_ms job_memory{12'000};
+// A rise of few jobs is mostly chance; the forecast is at most this many times the rate.
+constexpr double most_growth = 2.0;
 // The forecast holds this long past the expected onset.
 constexpr time_ms forecast_slack{1'500};
 
@@ -41,6 +43,8 @@
 std::int64_t surge_forecast::rate_of(const history& item, time_ms now) const {
     std::int64_t sum = 0;
     for (auto at = item.samples.rbegin(); at != item.samples.rend(); ++at) {
+        if (at->at > now)
+            continue;
         if (at->at <= now - rate_window)
             break;
         sum += at->work;
@@ -48,6 +52,17 @@
     return sum / rate_window;
 }
 
+// A surge rises over some 3 s; while it does, the rise is taken to go on.
+std::int64_t surge_forecast::trend(const history& item, time_ms now, time_ms ahead) const {
+    const auto current = rate_of(item, now);
+    const auto before = rate_of(item, now - rate_window);
+    if (current <= before)
+        return current;
+    const auto rise = static_cast<double>(current - before) / static_cast<double>(rate_window);
+    const auto most = static_cast<std::int64_t>(most_growth * static_cast<double>(current));
+    return std::min(most, current + static_cast<std::int64_t>(rise * static_cast<double>(ahead)));
+}
+
 std::int64_t surge_forecast::rate(const std::string& pool, time_ms now) const {
     const auto at = pools_.find(pool);
     return at == pools_.end() ? 0 : rate_of(at->second, now);
@@ -91,7 +106,7 @@
     if (at == pools_.end())
         return 0;
     const auto& item = at->second;
-    const auto current = rate_of(item, now);
+    const auto current = trend(item, now, ahead);
     if (item.surging || item.before.empty())
         return current;
     const auto& before = pools_.at(item.before);
--- a/src/workload/surge_forecast.h
+++ b/src/workload/surge_forecast.h
@@ -44,6 +44,7 @@
         time_ms length{0};     // of the last whole surge
     };
 
+    std::int64_t trend(const history& item, time_ms now, time_ms ahead) const;
     std::int64_t rate_of(const history& item, time_ms now) const;
 
     std::map<std::string, history> pools_;
