Count lasting tasks on silent workers as away; let blocked tasks ask for machines

Tests with a fake fleet (tests/workload) failed first: the dark worker's task, and lasting tasks that find no room while machines rest. Ruled out: a stale percent from a live worker; lists are at most 0.5 s old there.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -501,6 +501,8 @@
         const auto ahead = machines_.move_time() + contact_time;
         const auto coming = forecast_.expected(pool.name, now, ahead);
         const auto wanted = std::max(coming, load_of(pool.name).in_demand);
+        const auto blocked = blocked_.find(pool.name);
+        out[pool.name].blocked = blocked == blocked_.end() ? 0 : blocked->second;
         out[pool.name].wanted =
             static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
     }
@@ -786,8 +788,13 @@
         const auto failed = failed_on_.find(id);
         request.avoid = failed == failed_on_.end() ? std::string() : failed->second;
         auto* on = choose_worker(pool, request, now);
-        if (!on)
+        if (!on) {
+            const auto left = std::ranges::count_if(
+                tasks.begin() + i, tasks.end(),
+                [](const task& one) { return one.phase == task_phase::waiting; });
+            blocked_[pool_of(*item.owner)] += left * occupied(spec).cpu;
             return;
+        }
         if (spec.colocate && request.rack.empty())
             request.rack = on->rack;
         propose_start(id, tasks[i], *on, tasks[i].run + 1, now);
@@ -835,6 +842,7 @@
 
 void controller::place(time_ms now, time_ms wall) {
     const auto steps = ready_steps(now, wall);
+    blocked_.clear();
     if (steps.empty())
         return;
     std::map<std::string, std::vector<worker*>> pools;
@@ -844,8 +852,6 @@
     }
     for (const auto& item : steps) {
         auto& pool = pools[pool_of(*item.owner)];
-        if (pool.empty())
-            continue;
         if (item.owner->spec.steps[item.step].gang)
             place_gang(item, pool, now);
         else
@@ -888,7 +894,9 @@
     out.arriving = machines_.arriving(pool) + machines_.resting();
     for (const auto& id : table_.open_jobs()) {
         const auto& item = *table_.find_job(id);
-        if (!item.ended() && !item.lasting() && item.spec.times == 0 && pool_of(item) == pool)
+        if (item.ended() || pool_of(item) != pool)
+            continue;
+        if (!item.lasting() && item.spec.times == 0)
             add_job_load(item, out);
     }
     return out;
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -136,6 +136,7 @@
     std::map<std::string, worker> workers_;  // by id, the newest life
     std::map<std::string, std::string> at_address_; // address -> id
     std::vector<worker> old_lives_; // superseded lives whose runs may still hold a lease
+    std::map<std::string, std::int64_t> blocked_; // by pool: see pool_demand
     std::set<task_id> starting_;    // proposed to the log
     std::map<task_id, std::string> failed_on_; // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -45,6 +45,9 @@
 std::uint32_t at_work(const std::map<std::string, worker>& workers, const task_id& any_of_step) {
     std::uint32_t out = 0;
     for (const auto& [id, item] : workers) {
+        // What a silent worker last listed may have ended since.
+        if (!item.contacted || item.hold_unanswered)
+            continue;
         for (const auto& [key, run] : item.runs)
             out += same_step(run.task, any_of_step) && is_at_work(run) ? 1U : 0U;
     }
@@ -415,8 +418,10 @@
         if (pool.standby)
             continue;
         const auto at = demand.find(pool.name);
-        const auto wanted = std::max(least_wanted, at == demand.end() ? 0 : at->second.wanted);
-        missing[pool.name] = wanted - supply[pool.name];
+        const auto asked = at == demand.end() ? pool_demand{} : at->second;
+        // Room may be there in pieces that are too small.
+        missing[pool.name] = std::max(std::max(least_wanted, asked.wanted) - supply[pool.name],
+                                      asked.blocked - arriving(pool.name));
     }
     log_pools(demand, supply, now);
     std::vector<managed_machine*> idle;
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -27,6 +27,7 @@
 // What a pool is asked to do.
 struct pool_demand {
     std::int64_t wanted = 0;  // processor for short tasks, thousandths of a core
+    std::int64_t blocked = 0; // processor of tasks that no worker has room for, lasting ones too
 };
 
 struct managed_machine {
--- /dev/null
+++ b/tests/workload/fake_fleet.cpp
@@ -0,0 +1,511 @@
+#include "workload/fake_fleet.h"
+
+#include <algorithm>
+
+namespace clementine::workload {
+
+namespace {
+
+constexpr time_ms step_time{5};
+constexpr time_ms one_way{1};
+constexpr time_ms commit_time{10};
+constexpr time_ms answer_limit{400};
+constexpr time_ms announce_interval{1'500};
+constexpr time_ms start_up_time{200};
+constexpr time_ms stop_duration{100};
+constexpr time_ms move_duration{1'500};
+constexpr time_ms upkeep_duration{2'000};
+constexpr time_ms election_time{1'500};
+constexpr time_ms notice_time{4'500};
+constexpr time_ms longest_lease{10'000};
+constexpr int whole_percent = 100;
+
+std::string name_of(const task_id& id) {
+    return id.job + "." + std::to_string(id.step) + "." + std::to_string(id.index);
+}
+
+} // namespace
+
+configuration fake_configuration() {
+    configuration out;
+    out.version = 1;
+    for (const std::string pool : {"a", "b"}) {
+        queue_config queue;
+        queue.name = "q" + pool;
+        queue.host = "host";
+        queue.prefix = "/" + pool + "/";
+        queue.pool = pool;
+        queue.timeout = 3'000;
+        queue.target_latency = 600;
+        queue.attempts = 3;
+        queue.stretch = 1.6;
+        out.queues.push_back(queue);
+        out.pools.push_back({pool, false, false});
+    }
+    out.pools.push_back({"spare", false, true});
+    return out;
+}
+
+step_spec make_step(std::uint32_t count, std::int64_t cpu, time_ms work) {
+    step_spec out;
+    out.count = count;
+    out.need = {cpu, 500, 0};
+    out.estimate = work;
+    return out;
+}
+
+step_spec make_lasting_step(std::uint32_t count, std::int64_t cpu, std::uint32_t may_miss) {
+    auto out = make_step(count, cpu, 1'000);
+    out.lasting = true;
+    out.may_miss = may_miss;
+    return out;
+}
+
+fake_fleet::fake_fleet(fleet_options options) : options_(std::move(options)), random_(options_.seed) {
+    command first;
+    first.operations.emplace_back(put_configuration{fake_configuration()});
+    table_.apply(first, term_);
+    auto pools = options_.pools;
+    pools.emplace_back(options_.standby, options_.standby_machines);
+    int number = 0;
+    for (const auto& [pool, count] : pools) {
+        for (int i = 0; i < count; ++i, ++number) {
+            fake_machine item;
+            item.name = "m" + std::to_string(100 + number);
+            item.pool = pool;
+            item.rack = "r" + std::to_string(number / 4);
+            auto& added = machines_[item.name] = item;
+            if (pool != options_.standby)
+                start_worker(added);
+        }
+    }
+    controller_settings settings;
+    settings.machines = {"n1", true, 3'000, move_duration, upkeep_duration};
+    controller_ = std::make_unique<controller>(table_, settings);
+    controller_->lead(term_, now_);
+}
+
+void fake_fleet::violation(const std::string& text) {
+    violations_.push_back("at " + std::to_string(now_) + ": " + text);
+}
+
+void fake_fleet::at(time_ms when, std::function<void()> run) {
+    events_.emplace(when, std::move(run));
+}
+
+void fake_fleet::start_worker(fake_machine& on) {
+    fake_worker item;
+    item.ref = {"w" + std::to_string(100 + next_worker_++), now_};
+    item.machine = on.name;
+    item.pool = on.pool;
+    item.rack = on.rack;
+    item.address = "10.0.0." + std::to_string(next_port_++) + ":80";
+    item.born_at = now_ - 50;
+    item.clock_rate = 1.0 - 0.02 * random_.unit();
+    on.worker = item.ref.id;
+    on.state = machine_state::up;
+    workers_[item.ref.id] = item;
+}
+
+// Everything on the worker ends with it.
+void fake_fleet::end_worker(const std::string& id) {
+    workers_.erase(id);
+}
+
+void fake_fleet::run_for(time_ms span) {
+    const auto end = now_ + span;
+    while (now_ < end) {
+        now_ += step_time;
+        step();
+    }
+}
+
+void fake_fleet::step() {
+    while (!events_.empty() && events_.begin()->first <= now_) {
+        const auto run = std::move(events_.begin()->second);
+        events_.erase(events_.begin());
+        run();
+    }
+    for (auto& [name, item] : machines_) {
+        if (item.back_at == 0 || now_ < item.back_at)
+            continue;
+        item.back_at = 0;
+        item.state = machine_state::up;
+        if (item.pool != options_.standby)
+            start_worker(item);
+    }
+    for (auto& [id, item] : workers_) {
+        advance_runs(item);
+        if (!item.dark && (now_ - item.born_at) % announce_interval < step_time)
+            announce(item);
+    }
+    std::set<task_id> at_work;
+    for (const auto& [id, item] : workers_) {
+        for (const auto& run : item.runs) {
+            if (run.lasting && !item.dark && run.stop_at == 0 && now_ - run.started >= start_up_time)
+                at_work.insert(run.task);
+        }
+    }
+    for (const auto& id : table_.open_jobs()) {
+        const auto& owner = *table_.find_job(id);
+        for (std::uint32_t s = 0; s < owner.spec.steps.size(); ++s) {
+            for (std::uint32_t i = 0; owner.spec.steps[s].lasting && i < owner.spec.steps[s].count;
+                 ++i) {
+                const task_id task{id, 0, s, i};
+                if (at_work.contains(task))
+                    lasting_down_since_.erase(task);
+                else
+                    lasting_down_since_.try_emplace(task, now_);
+            }
+        }
+    }
+    if (!idle_leader)
+        act();
+}
+
+void fake_fleet::announce(fake_worker& item) {
+    if (idle_leader || !controller_->leading())
+        return;
+    worker_report report;
+    report.worker = item.ref;
+    report.pool = item.pool;
+    report.address = item.address;
+    report.labels = {"kind", item.rack};
+    report.capacity = item.capacity;
+    report.draining = item.draining;
+    report.clock = item.clock(now_);
+    report.sequence = ++item.sequence;
+    controller_->observe(report, now_);
+}
+
+void fake_fleet::end_run_on(fake_worker& item, std::size_t index, run_end how) {
+    const auto run = item.runs[index];
+    item.runs.erase(item.runs.begin() + static_cast<std::ptrdiff_t>(index));
+    item.ended.push_back({++item.last_end, run.task, run.run, how, {}});
+    item.barred[run.task] = std::max(item.barred[run.task], run.run);
+    if (how == run_end::done)
+        done_runs_[run.task].insert(run.run);
+}
+
+void fake_fleet::advance_runs(fake_worker& item) {
+    const bool lapsed = item.clock(now_) > item.lease_until;
+    for (std::size_t i = 0; i < item.runs.size();) {
+        const auto& run = item.runs[i];
+        if (lapsed)
+            end_run_on(item, i, run_end::lapsed);
+        else if (run.stop_at != 0 && now_ >= run.stop_at)
+            end_run_on(item, i, run_end::stopped);
+        else if (run.stop_at == 0 && !run.lasting && !item.stalls_all &&
+                 now_ - run.started >= run.work)
+            end_run_on(item, i, run.fails || item.fails_all ? run_end::failed : run_end::done);
+        else
+            ++i;
+    }
+}
+
+void fake_fleet::act() {
+    auto made = controller_->decide(now_, now_);
+    auto orders = std::move(made.orders);
+    made.orders.clear();
+    if (!made.log.empty() || !made.ends.empty())
+        commit(std::move(made));
+    for (auto& value : orders)
+        deliver(std::move(value));
+}
+
+void fake_fleet::commit(decisions made) {
+    at(now_ + commit_time, [this, made = std::move(made), term = term_] {
+        if (term != term_ && random_.chance(options_.commit_loss))
+            return;
+        // Commands of a dead leader that were replicated are committed by the next one, in order
+        // and before it acts.
+        const auto accepted = table_.apply({now_, made.log}, term);
+        if (term == term_)
+            controller_->committed(made, accepted, now_);
+    });
+}
+
+void fake_fleet::deliver(order value) {
+    std::visit(
+        [&](const auto& item) {
+            using type = std::decay_t<decltype(item)>;
+            if constexpr (std::is_same_v<type, list_machines_order>)
+                at(now_ + 2 * one_way, [this, term = term_] {
+                    std::vector<machine_report> out;
+                    for (const auto& [name, machine] : machines_)
+                        out.push_back({name, machine.pool, machine.state,
+                                       {"kind", machine.rack}, {16'000, 32'000, 0},
+                                       machine.state == machine_state::up ? machine.worker : ""});
+                    if (term == term_)
+                        controller_->observe(out, order_answer::done, now_);
+                });
+            else if constexpr (std::is_same_v<type, move_order> ||
+                               std::is_same_v<type, upkeep_order>)
+                at(now_ + one_way, [this, item] { call_machine(item); });
+            else
+                call_worker(item);
+        },
+        value);
+}
+
+template <class Order>
+void fake_fleet::call_worker(const Order& value) {
+    const bool late = random_.chance(options_.late_orders);
+    const auto sent = now_;
+    const auto arrival = late ? now_ + random_.between(2'000, 12'000) : now_ + one_way;
+    at(arrival, [this, value, late, sent, term = term_] {
+        const auto found = workers_.find(value.worker.id);
+        auto answer = order_answer::no_answer;
+        worker_lists lists;
+        if (found != workers_.end() && !found->second.dark) {
+            auto& on = found->second;
+            if constexpr (std::is_same_v<Order, hold_order>) {
+                answer = fits_fence(on, value.fence) ? order_answer::done : order_answer::fenced;
+                if (answer == order_answer::done) {
+                    if (value.until)
+                        on.lease_until =
+                            std::max(on.lease_until, std::min(*value.until, on.clock(now_) +
+                                                                                longest_lease));
+                    std::erase_if(on.ended, [&](const ended_task& item) {
+                        return item.number <= value.last_seen;
+                    });
+                    lists = lists_of(on);
+                }
+            } else {
+                answer = carry_out(on, value);
+            }
+        }
+        const bool answered = answer != order_answer::no_answer && !late;
+        at(answered ? now_ + one_way : std::max(now_, sent + answer_limit),
+           [this, value, answer, answered, lists, sent, term] {
+               if (term != term_)
+                   return;
+               const auto shown = answered ? answer : order_answer::no_answer;
+               if constexpr (std::is_same_v<Order, hold_order>)
+                   controller_->observe(value, shown, lists, sent, now_);
+               else
+                   controller_->observe(value, shown, now_);
+           });
+    });
+}
+
+bool fake_fleet::fits_fence(fake_worker& on, std::uint64_t fence) {
+    if (fence < on.fence)
+        return false;
+    on.fence = fence;
+    return true;
+}
+
+worker_lists fake_fleet::lists_of(const fake_worker& on) const {
+    worker_lists out;
+    out.clock = on.clock(now_);
+    for (const auto& run : on.runs) {
+        const auto share = run.lasting ? (now_ - run.started >= start_up_time ? 1.0 : 0.0)
+                                       : static_cast<double>(now_ - run.started) /
+                                             static_cast<double>(std::max<time_ms>(1, run.work));
+        const auto percent =
+            on.stalls_all ? 0 : static_cast<int>(whole_percent * std::min(share, 1.0));
+        out.running.push_back({run.task, run.run, {}, percent, 0});
+    }
+    out.ended = on.ended;
+    return out;
+}
+
+const step_spec& fake_fleet::spec_of(const task_id& id) const {
+    return table_.find_job(id.job)->spec.steps[id.step];
+}
+
+void fake_fleet::check_start(const fake_worker& on, const start_order& value) {
+    const auto* owner = table_.find_job(value.task.job);
+    if (!owner)
+        return violation("start of an unknown job " + value.task.job);
+    const auto& spec = spec_of(value.task);
+    for (const auto& [id, other] : workers_) {
+        for (const auto& run : other.runs) {
+            if (run.task == value.task && !spec.speculative)
+                violation(name_of(value.task) + " runs twice, on " + id + " and " + on.ref.id);
+        }
+    }
+    if (const auto* item = table_.find_task(value.task);
+        item && item->phase == task_phase::done)
+        violation(name_of(value.task) + " starts after its end");
+    resources used;
+    for (const auto& run : on.runs)
+        used += run.need;
+    if (!on.capacity.holds(used + occupied(spec)))
+        violation("worker " + on.ref.id + " is over its capacity");
+    for (const auto earlier : spec.depends_on) {
+        const auto& progress = owner->occurrences[value.task.occurrence].steps[earlier];
+        if (progress.done != owner->spec.steps[earlier].count)
+            violation(name_of(value.task) + " starts before its turn");
+    }
+    if (spec.max_per_worker != 0) {
+        const auto there = std::ranges::count_if(on.runs, [&](const fake_run& run) {
+            return run.task.job == value.task.job && run.task.step == value.task.step;
+        });
+        if (there >= static_cast<std::ptrdiff_t>(spec.max_per_worker))
+            violation("too many tasks of a step on " + on.ref.id);
+    }
+}
+
+order_answer fake_fleet::carry_out(fake_worker& on, const start_order& value) {
+    if (!fits_fence(on, value.fence))
+        return order_answer::fenced;
+    for (const auto& run : on.runs) {
+        if (run.task == value.task && run.run == value.run)
+            return order_answer::done;
+    }
+    const auto barred = on.barred.find(value.task);
+    if (barred != on.barred.end() && value.run <= barred->second)
+        return order_answer::superseded;
+    if (value.until <= on.clock(now_))
+        return order_answer::late;
+    check_start(on, value);
+    on.lease_until = std::max(on.lease_until, value.until);
+    const auto& spec = spec_of(value.task);
+    fake_run run;
+    run.task = value.task;
+    run.run = value.run;
+    run.started = now_;
+    run.work = spec.estimate;
+    run.lasting = spec.lasting;
+    run.need = occupied(spec);
+    run.fails = value.payload == "fails";
+    on.runs.push_back(run);
+    return order_answer::done;
+}
+
+order_answer fake_fleet::carry_out(fake_worker& on, const stop_order& value) {
+    if (!fits_fence(on, value.fence))
+        return order_answer::fenced;
+    on.barred[value.task] = std::max(on.barred[value.task], value.run);
+    for (auto& run : on.runs) {
+        if (run.task != value.task || run.run != value.run || run.stop_at != 0)
+            continue;
+        run.stop_at = now_ + stop_duration;
+    }
+    return order_answer::done;
+}
+
+order_answer fake_fleet::carry_out(fake_worker& on, const pace_order& value) {
+    return fits_fence(on, value.fence) ? order_answer::done : order_answer::fenced;
+}
+
+// A machine order must not end a lasting task while too many others of its step are away.
+void fake_fleet::check_availability(const fake_worker& on, const char* by) {
+    std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> ending;
+    for (const auto& run : on.runs) {
+        const auto* owner = table_.find_job(run.task.job);
+        if (!run.lasting || !owner || owner->ended() || on.draining)
+            continue;
+        const auto& spec = spec_of(run.task);
+        if (spec.may_miss == 0)
+            continue;
+        std::uint32_t away = ending[{run.task.job, run.task.step}]++;
+        for (std::uint32_t i = 0; i < spec.count; ++i) {
+            const task_id other{run.task.job, run.task.occurrence, run.task.step, i};
+            const auto down = lasting_down_since_.find(other);
+            if (i != run.task.index && down != lasting_down_since_.end() &&
+                now_ - down->second >= notice_time)
+                ++away;
+        }
+        if (away >= spec.may_miss)
+            violation(name_of(run.task) + " is ended by " + by + " while " +
+                      std::to_string(away) + " others are away");
+    }
+}
+
+void fake_fleet::call_machine(const move_order& value) {
+    auto& item = machines_.at(value.machine);
+    auto answer = order_answer::busy;
+    if (value.fence < machine_fence_)
+        violation("a machine order with an old fence");
+    machine_fence_ = std::max(machine_fence_, value.fence);
+    if (item.pool == value.pool) {
+        answer = order_answer::done;
+    } else if (item.state == machine_state::up) {
+        answer = order_answer::done;
+        ++moves_;
+        if (const auto on = workers_.find(item.worker); on != workers_.end()) {
+            check_availability(on->second, "a move");
+            end_worker(item.worker);
+        }
+        item.worker.clear();
+        item.pool = value.pool;
+        item.state = machine_state::moving;
+        item.back_at = now_ + move_duration;
+    }
+    at(now_ + one_way, [this, value, answer, term = term_] {
+        if (term == term_)
+            controller_->observe(value, answer, now_);
+    });
+}
+
+void fake_fleet::call_machine(const upkeep_order& value) {
+    auto& item = machines_.at(value.machine);
+    auto answer = order_answer::busy;
+    if (value.fence < machine_fence_)
+        violation("a machine order with an old fence");
+    machine_fence_ = std::max(machine_fence_, value.fence);
+    if (item.state == machine_state::up) {
+        answer = order_answer::done;
+        ++upkeeps_;
+        const auto down = std::ranges::count_if(machines_, [](const auto& one) {
+            return one.second.state == machine_state::upkeep;
+        });
+        const auto wave = table_.waves().find(value.wave);
+        if (wave != table_.waves().end() && down >= wave->second.order.cap)
+            violation("too many machines down in a wave");
+        if (const auto on = workers_.find(item.worker); on != workers_.end()) {
+            check_availability(on->second, "an upkeep");
+            end_worker(item.worker);
+        }
+        item.worker.clear();
+        item.state = machine_state::upkeep;
+        item.back_at = now_ + upkeep_duration;
+    }
+    at(now_ + one_way, [this, value, answer, term = term_] {
+        if (term == term_)
+            controller_->observe(value, answer, now_);
+    });
+}
+
+bool fake_fleet::submit(const std::string& queue, const std::string& id, job_spec spec) {
+    const auto& config = *table_.config().find_queue(queue);
+    controller_->offered(config, id, spec, now_);
+    if (!controller_->consider(config, spec).accepted)
+        return false;
+    command value{now_, {submit_job{id, queue, config.pool, config.attempts, std::move(spec)}}};
+    table_.apply(value, term_);
+    return true;
+}
+
+void fake_fleet::cancel(const std::string& id) {
+    table_.apply({now_, {cancel_job{id}}}, term_);
+}
+
+void fake_fleet::order_wave(wave_order order) {
+    table_.apply({now_, {put_wave{std::move(order)}}}, term_);
+}
+
+void fake_fleet::replace_leader(time_ms pause) {
+    ++term_;
+    idle_leader = true;
+    controller_->stop_leading();
+    at(now_ + pause + election_time, [this] {
+        idle_leader = false;
+        controller_->lead(term_, now_);
+    });
+}
+
+void fake_fleet::set_dark(const std::string& worker, bool dark) {
+    workers_.at(worker).dark = dark;
+}
+
+void fake_fleet::crash(const std::string& worker) {
+    auto& machine = machines_.at(workers_.at(worker).machine);
+    end_worker(worker);
+    start_worker(machine);
+}
+
+} // namespace clementine::workload
--- /dev/null
+++ b/tests/workload/fake_fleet.h
@@ -0,0 +1,152 @@
+// Workers, machines and a log in virtual time around one controller, with the promises that the
+// decisions must keep checked at each step. Orders take a millisecond, a commit ten.
+#pragma once
+
+#include "base/random.h"
+#include "workload/controller.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace clementine::workload {
+
+struct fake_run {
+    task_id task;
+    std::uint32_t run = 0;
+    time_ms started{0};
+    time_ms work{0}; // time to run; lasting tasks end only by orders
+    bool lasting = false;
+    resources need;
+    time_ms stop_at{0}; // being stopped until then; 0: not
+    bool fails = false;
+};
+
+struct fake_worker {
+    worker_ref ref;
+    std::string machine;
+    std::string pool;
+    std::string address;
+    std::string rack;
+    resources capacity{16'000, 32'000, 0};
+    bool dark = false;     // answers nothing, but runs on
+    bool draining = false;
+    bool fails_all = false;
+    bool stalls_all = false;
+    time_ms born_at{0};
+    double clock_rate = 1.0;
+    std::uint64_t sequence = 0;
+    std::uint64_t fence = 0;
+    time_ms lease_until{0};
+    std::uint64_t last_end = 0;
+    std::vector<fake_run> runs;
+    std::vector<ended_task> ended;
+    std::map<task_id, std::uint32_t> barred; // runs up to this one are refused
+
+    time_ms clock(time_ms now) const {
+        return static_cast<time_ms>(static_cast<double>(now - born_at) * clock_rate);
+    }
+};
+
+struct fake_machine {
+    std::string name;
+    std::string pool;
+    std::string rack;
+    machine_state state = machine_state::up;
+    time_ms back_at{0};
+    std::string worker; // id while up
+};
+
+struct fleet_options {
+    std::uint64_t seed = 1;
+    std::vector<std::pair<std::string, int>> pools{{"a", 4}, {"b", 4}};
+    std::string standby = "spare";
+    int standby_machines = 2;
+    double late_orders = 0;  // share of orders without an answer, carried out 2 to 12 s later
+    double commit_loss = 0;  // share of a crashed leader's commands that were not committed
+};
+
+class fake_fleet {
+  public:
+    explicit fake_fleet(fleet_options options);
+
+    time_ms now() const { return now_; }
+    const job_table& table() const { return table_; }
+    controller& control() { return *controller_; }
+    void run_for(time_ms span);
+    // Submits a job at the leader; false if it was refused.
+    bool submit(const std::string& queue, const std::string& id, job_spec spec);
+    void cancel(const std::string& id);
+    void order_wave(wave_order order);
+    // The leader dies; another one takes over after a pause.
+    void replace_leader(time_ms pause);
+    void set_dark(const std::string& worker, bool dark);
+    // The worker's process ends; it starts again under a new id.
+    void crash(const std::string& worker);
+    std::map<std::string, fake_worker>& workers() { return workers_; }
+    std::map<std::string, fake_machine>& machines() { return machines_; }
+    const std::vector<std::string>& violations() const { return violations_; }
+    int moves() const { return moves_; }
+    int upkeeps() const { return upkeeps_; }
+    bool idle_leader = false; // no leader acts
+
+  private:
+    struct event {
+        time_ms at{0};
+        std::function<void()> run;
+    };
+
+    void at(time_ms when, std::function<void()> run);
+    void start_worker(fake_machine& on);
+    void end_worker(const std::string& id);
+    void step();
+    void advance_runs(fake_worker& item);
+    void end_run_on(fake_worker& item, std::size_t index, run_end how);
+    void announce(fake_worker& item);
+    void act();
+    void commit(decisions made);
+    void deliver(order value);
+    template <class Order>
+    void call_worker(const Order& value);
+    order_answer carry_out(fake_worker& on, const start_order& value);
+    order_answer carry_out(fake_worker& on, const stop_order& value);
+    order_answer carry_out(fake_worker& on, const pace_order& value);
+    worker_lists lists_of(const fake_worker& on) const;
+    void call_machine(const move_order& value);
+    void call_machine(const upkeep_order& value);
+    bool fits_fence(fake_worker& on, std::uint64_t fence);
+    void check_start(const fake_worker& on, const start_order& value);
+    void check_availability(const fake_worker& on, const char* by);
+    const step_spec& spec_of(const task_id& id) const;
+    void violation(const std::string& text);
+
+    fleet_options options_;
+    random_source random_;
+    time_ms now_{1'000};
+    std::uint64_t term_ = 1;
+    job_table table_;
+    std::unique_ptr<controller> controller_;
+    std::map<std::string, fake_worker> workers_;
+    std::map<std::string, fake_machine> machines_;
+    std::multimap<time_ms, std::function<void()>> events_;
+    std::vector<std::string> violations_;
+    std::map<task_id, std::set<std::uint32_t>> done_runs_;
+    std::map<task_id, time_ms> lasting_down_since_; // not at work, whatever the cause
+    int next_worker_ = 0;
+    int next_port_ = 1;
+    int moves_ = 0;
+    int upkeeps_ = 0;
+    std::uint64_t machine_fence_ = 0;
+};
+
+// Two queues "qa" and "qb" on pools "a" and "b", and a standby pool.
+configuration fake_configuration();
+// A step of `count` tasks.
+step_spec make_step(std::uint32_t count, std::int64_t cpu, time_ms work);
+step_spec make_lasting_step(std::uint32_t count, std::int64_t cpu, std::uint32_t may_miss);
+
+} // namespace clementine::workload
--- /dev/null
+++ b/tests/workload/fleet_test.cpp
@@ -0,0 +1,199 @@
+// Guards the decisions of a leading control node against lost and doubled work, and against
+// machine orders that end too many tasks, under the load and faults of a day.
+#include "workload/fake_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::workload;
+
+job_spec one_step(step_spec step) {
+    job_spec out;
+    out.steps.push_back(std::move(step));
+    return out;
+}
+
+job_spec two_steps(const step_spec& step) {
+    job_spec out;
+    out.steps = {step, step};
+    out.steps[1].depends_on = {0};
+    return out;
+}
+
+std::string id_of(int number) {
+    auto digits = std::to_string(number);
+    return std::string(16 - digits.size(), '0') + digits;
+}
+
+class fleet_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(fleet_test);
+    CPPUNIT_TEST(serves_jobs_of_several_steps);
+    CPPUNIT_TEST(lasting_tasks_bring_machines_back_from_rest);
+    CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_away);
+    CPPUNIT_TEST(wave_is_done_in_time);
+    CPPUNIT_TEST(late_orders_never_double_a_task);
+    CPPUNIT_TEST(new_leader_neither_loses_nor_doubles_work);
+    CPPUNIT_TEST(random_days_keep_all_promises);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void assert_clean(const fake_fleet& fleet) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            fleet.violations().empty() ? std::string() : fleet.violations().front(), std::size_t{0},
+            fleet.violations().size());
+    }
+
+  public:
+    void serves_jobs_of_several_steps() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(fleet.submit("qa", id_of(i), two_steps(make_step(4, 1'000, 800))));
+        fleet.run_for(2'500);
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
+        assert_clean(fleet);
+    }
+
+    // All machines but one of a pool rest when lasting work comes that needs four.
+    void lasting_tasks_bring_machines_back_from_rest() {
+        fake_fleet fleet({});
+        fleet.run_for(6'000);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_lasting_step(4, 9'000, 1))));
+        fleet.run_for(4'000);
+        const auto& step = fleet.table().find_job(id_of(1))->occurrences[0].steps[0];
+        CPPUNIT_ASSERT_EQUAL(0U, step.waiting);
+        assert_clean(fleet);
+    }
+
+    // A rack goes dark: its tasks are away, although the last list named them as at work. Ending
+    // another task of the step then makes two away where one may be.
+    void upkeep_counts_tasks_on_silent_workers_as_away() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_lasting_step(4, 9'000, 1))));
+        fleet.run_for(4'500);
+        std::string holder;
+        wave_order order{1, {}, 20'000, 2};
+        for (const auto& [id, item] : fleet.workers()) {
+            if (item.runs.empty())
+                continue;
+            if (holder.empty())
+                holder = id;
+            else
+                order.machines.push_back(item.machine);
+        }
+        fleet.set_dark(holder, true);
+        fleet.run_for(4'600);
+        fleet.order_wave(order);
+        fleet.run_for(15'000);
+        assert_clean(fleet);
+    }
+
+    void wave_is_done_in_time() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_lasting_step(4, 2'000, 1))));
+        CPPUNIT_ASSERT(fleet.submit("qb", id_of(2), one_step(make_lasting_step(3, 2'000, 1))));
+        fleet.run_for(2'000);
+        wave_order order{1, {}, 20'000, 2};
+        for (const auto& [name, item] : fleet.machines())
+            order.machines.push_back(name);
+        fleet.order_wave(order);
+        fleet.run_for(20'000);
+        CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        CPPUNIT_ASSERT(fleet.upkeeps() >= 10);
+        assert_clean(fleet);
+    }
+
+    // A start that goes unanswered may be carried out seconds later, when the task has long been
+    // started elsewhere.
+    void late_orders_never_double_a_task() {
+        fleet_options options;
+        options.late_orders = 0.2;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        for (int i = 0; i < 40; ++i) {
+            fleet.submit("qa", id_of(i), two_steps(make_step(3, 1'500, 600)));
+            fleet.run_for(250);
+        }
+        fleet.run_for(20'000);
+        assert_clean(fleet);
+    }
+
+    void new_leader_neither_loses_nor_doubles_work() {
+        fleet_options options;
+        options.commit_loss = 0.5;
+        fake_fleet fleet(options);
+        fleet.run_for(2'500);
+        CPPUNIT_ASSERT(fleet.submit("qb", id_of(999), one_step(make_lasting_step(3, 2'000, 1))));
+        int accepted = 0;
+        for (int i = 0; i < 30; ++i) {
+            accepted += fleet.submit("qa", id_of(i), two_steps(make_step(3, 1'500, 600))) ? 1 : 0;
+            fleet.run_for(200);
+            if (i % 10 == 9) {
+                fleet.replace_leader(300);
+                fleet.run_for(2'500);
+            }
+        }
+        fleet.run_for(15'000);
+        int done = 0;
+        for (int i = 0; i < 30; ++i) {
+            const auto* item = fleet.table().find_job(id_of(i));
+            done += item && item->state == job_state::completed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_EQUAL(accepted, done);
+        assert_clean(fleet);
+    }
+
+    // Faults, waves and changes of the leader at random times, from fixed seeds.
+    void random_days_keep_all_promises() {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            fleet_options options;
+            options.seed = seed;
+            options.late_orders = seed % 3 == 0 ? 0.05 : 0;
+            options.commit_loss = 0.3;
+            fake_fleet fleet(options);
+            random_source random(seed * 7919);
+            fleet.run_for(2'500);
+            fleet.submit("qa", id_of(1'001), one_step(make_lasting_step(4, 1'500, 1)));
+            fleet.submit("qb", id_of(1'002), one_step(make_lasting_step(3, 2'500, 1)));
+            fleet.run_for(1'500);
+            wave_order order{1, {}, 20'000, 2};
+            for (const auto& [name, item] : fleet.machines()) {
+                if (random.chance(0.5))
+                    order.machines.push_back(name);
+            }
+            fleet.order_wave(order);
+            for (int i = 0; i < 60; ++i) {
+                if (fleet.control().leading())
+                    fleet.submit(random.chance(0.5) ? "qa" : "qb", id_of(i),
+                                 two_steps(make_step(1 + random.below(6), 1'000, 500)));
+                fleet.run_for(random.between(50, 400));
+                if (random.chance(0.05) && fleet.control().leading())
+                    fleet.replace_leader(random.between(0, 3'000));
+                if (random.chance(0.08) && !fleet.workers().empty()) {
+                    auto at = fleet.workers().begin();
+                    std::advance(at, random.below(fleet.workers().size()));
+                    if (random.chance(0.5))
+                        fleet.set_dark(at->first, !at->second.dark);
+                    else
+                        fleet.crash(at->first);
+                }
+                if (random.chance(0.03))
+                    fleet.cancel(id_of(static_cast<int>(random.below(60))));
+            }
+            fleet.run_for(20'000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + ": " +
+                                             (fleet.violations().empty()
+                                                  ? std::string()
+                                                  : fleet.violations().front()),
+                                         std::size_t{0}, fleet.violations().size());
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
+
+} // namespace
