--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -770,6 +770,14 @@
     return {};
 }
 
+// Processor that a task takes up if workers hold nothing but such tasks.
+std::int64_t controller::share_of_worker(std::int64_t cpu) const {
+    std::int64_t largest = 0;
+    for (const auto& [id, item] : workers_)
+        largest = std::max(largest, item.capacity.cpu);
+    return cpu <= 0 || cpu > largest ? cpu : largest / (largest / cpu);
+}
+
 void controller::place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
     const auto& spec = item.owner->spec.steps[item.step];
     const auto& tasks = item.owner->occurrences[item.occurrence].steps[item.step].tasks;
@@ -792,7 +800,7 @@
             const auto left = std::ranges::count_if(
                 tasks.begin() + i, tasks.end(),
                 [](const task& one) { return one.phase == task_phase::waiting; });
-            blocked_[pool_of(*item.owner)] += left * occupied(spec).cpu;
+            blocked_[pool_of(*item.owner)] += left * share_of_worker(occupied(spec).cpu);
             return;
         }
         if (spec.colocate && request.rack.empty())
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -120,6 +120,7 @@
     void place(time_ms now, time_ms wall);
     std::map<std::string, pool_demand> measure_demand(time_ms now) const;
     void end_life_on(const std::string& machine);
+    std::int64_t share_of_worker(std::int64_t cpu) const;
     void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     bool place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     void propose_start(const task_id& id, const task& item, worker& on, std::uint32_t run,
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -62,7 +62,7 @@
     machines_.clear();
     holder_proposed_ = false;
     list_under_way_ = false;
-    listed_at_ = 0;
+    listed_at_ = first_listed_at_ = 0;
     list_due_at_ = now;
     // Another node may have given orders until a moment ago.
     const bool other = !table_.machines_holder().empty() &&
@@ -99,6 +99,8 @@
         return;
     }
     listed_at_ = now;
+    if (first_listed_at_ == 0)
+        first_listed_at_ = now;
     list_due_at_ = now + list_interval;
     for (const auto& report : machines) {
         auto& item = machines_[report.machine];
@@ -272,7 +274,7 @@
     for (const auto& [name, phase] : item.machines) {
         const auto known = machines_.find(name);
         if (known == machines_.end()) {
-            if (phase != upkeep_phase::done && now - orders_from_ > unlisted_limit)
+            if (phase != upkeep_phase::done && listed_at_ - first_listed_at_ > unlisted_limit)
                 log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
             continue;
         }
@@ -290,7 +292,7 @@
         }
         if (phase == upkeep_phase::done)
             continue;
-        if (now - machine.listed_at > unlisted_limit) {
+        if (listed_at_ - machine.listed_at > unlisted_limit) {
             log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
             continue;
         }
@@ -376,6 +378,7 @@
             .field("pool", pool)
             .field("wanted_cpu", one.wanted)
             .field("supply_cpu", at == supply.end() ? std::int64_t{0} : at->second)
+            .field("blocked_cpu", one.blocked)
             .field("arriving_cpu", arriving(pool))
             .field("idle_machines", idle)
             .field("list_age_ms", now - listed_at_);
@@ -419,9 +422,11 @@
             continue;
         const auto at = demand.find(pool.name);
         const auto asked = at == demand.end() ? pool_demand{} : at->second;
+        auto& short_of = missing[pool.name];
+        short_of = std::max(least_wanted, asked.wanted) - supply[pool.name];
         // Room may be there in pieces that are too small.
-        missing[pool.name] = std::max(std::max(least_wanted, asked.wanted) - supply[pool.name],
-                                      asked.blocked - arriving(pool.name));
+        if (asked.blocked > 0)
+            short_of = std::max(short_of, asked.blocked - arriving(pool.name));
     }
     log_pools(demand, supply, now);
     std::vector<managed_machine*> idle;
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -95,6 +95,7 @@
     time_ms orders_from_{0}; // no orders before
     bool list_under_way_ = false;
     time_ms listed_at_{0};
+    time_ms first_listed_at_{0}; // by this leader
     time_ms list_due_at_{0};
     time_ms planned_at_{0};
     time_ms logged_at_{0};
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -80,7 +80,7 @@
         }
     }
     controller_settings settings;
-    settings.machines = {"n1", true, 3'000, move_duration, upkeep_duration};
+    settings.machines = {"n1", options_.machine_orders, 3'000, move_duration, upkeep_duration};
     controller_ = std::make_unique<controller>(table_, settings);
     controller_->lead(term_, now_);
 }
@@ -237,7 +237,10 @@
                                        {"kind", machine.rack}, {16'000, 32'000, 0},
                                        machine.state == machine_state::up ? machine.worker : ""});
                     if (term == term_)
-                        controller_->observe(out, order_answer::done, now_);
+                        controller_->observe(out,
+                                             lists_fail ? order_answer::no_answer
+                                                        : order_answer::done,
+                                             now_);
                 });
             else if constexpr (std::is_same_v<type, move_order> ||
                                std::is_same_v<type, upkeep_order>)
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -66,6 +66,7 @@
     std::vector<std::pair<std::string, int>> pools{{"a", 4}, {"b", 4}};
     std::string standby = "spare";
     int standby_machines = 2;
+    bool machine_orders = true; // false: fixed pools
     double late_orders = 0;  // share of orders without an answer, carried out 2 to 12 s later
     double commit_loss = 0;  // share of a crashed leader's commands that were not committed
 };
@@ -93,6 +94,7 @@
     int moves() const { return moves_; }
     int upkeeps() const { return upkeeps_; }
     bool idle_leader = false; // no leader acts
+    bool lists_fail = false;  // the platform does not list its machines
 
   private:
     struct event {
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(lasting_tasks_bring_machines_back_from_rest);
     CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_away);
     CPPUNIT_TEST(wave_is_done_in_time);
+    CPPUNIT_TEST(wave_is_not_done_while_machines_are_not_listed);
+    CPPUNIT_TEST(machines_follow_a_surge);
     CPPUNIT_TEST(late_orders_never_double_a_task);
     CPPUNIT_TEST(new_leader_neither_loses_nor_doubles_work);
     CPPUNIT_TEST(random_days_keep_all_promises);
@@ -107,6 +109,48 @@
         assert_clean(fleet);
     }
 
+    // A machine that the platform does not list any more needs no upkeep; without any list nothing
+    // is known about it.
+    void wave_is_not_done_while_machines_are_not_listed() {
+        fake_fleet fleet({});
+        fleet.run_for(3'000);
+        fleet.lists_fail = true;
+        fleet.order_wave({1, {"m100", "m101"}, 20'000, 1});
+        fleet.run_for(8'000);
+        const auto& wave = fleet.table().waves().at(1);
+        CPPUNIT_ASSERT(!wave.completed() || fleet.upkeeps() == 2);
+    }
+
+    static int served_in_surge(bool machine_orders, fake_fleet& fleet) {
+        fleet.run_for(8'000); // the machines rest
+        for (int i = 0; i < 200; ++i) {
+            fleet.submit("qa", id_of(i), one_step(make_step(6, 1'000, 800)));
+            fleet.run_for(40);
+        }
+        fleet.run_for(4'000);
+        int served = 0;
+        for (int i = 0; i < 200; ++i) {
+            const auto* item = fleet.table().find_job(id_of(i));
+            served += item && item->state == job_state::completed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT(machine_orders == (fleet.moves() > 0));
+        assert_clean(fleet);
+        return served;
+    }
+
+    // One queue asks for about twice what its pool holds while the other pool is idle. Pools that
+    // begin at rest must still serve more than fixed ones.
+    void machines_follow_a_surge() {
+        fleet_options fixed;
+        fixed.machine_orders = false;
+        fake_fleet static_pools(fixed);
+        fake_fleet moving_pools({});
+        const auto baseline = served_in_surge(false, static_pools);
+        const auto served = served_in_surge(true, moving_pools);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(served) + " against " + std::to_string(baseline),
+                               served > baseline);
+    }
+
     // A start that goes unanswered may be carried out seconds later, when the task has long been
     // started elsewhere.
     void late_orders_never_double_a_task() {
