Announce machine orders in the log; measure offered load without a learned order

Change: each machine order is logged before it is given, and only machines of another holder wait; a new leader takes over the load offered in the last 3 s. The clock counts suspended time.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,7 +20,8 @@
     virtual time_ms now() const = 0;
 };
 
-// Reads CLOCK_MONOTONIC.
+// Reads CLOCK_BOOTTIME, which goes on while the machine is suspended: a lease that was held before
+// must not look valid afterwards.
 class steady_clock final : public clock_source {
   public:
     time_ms now() const override;
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -282,7 +282,7 @@
 void job_control::check_leadership() {
     const bool serving = !stopping_ && log_->serving();
     const bool leads = log_->role() == consensus::replica_role::leader;
-    if (!leads && controller_.leading()) {
+    if (controller_.leading() && (!leads || controller_.fence() != log_->term())) {
         log_event(log_level::warning, "leadership_lost").field("term", log_->term());
         controller_.stop_leading();
         // Their fate is decided by the next leader; whoever waits asks again there.
@@ -294,7 +294,7 @@
             .field("commit", std::uint64_t{log_->commit_index()})
             .field("version", table_.config().version)
             .field("open_jobs", std::uint64_t{table_.open_jobs().size()});
-        controller_.lead(log_->term(), clock_.now());
+        controller_.lead(log_->term(), clock_.now(), wall_clock_ms());
         publish_directory();
         router_->retry_waiting();
         request_round();
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -3,7 +3,6 @@
 #include "base/log.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace clementine::workload {
@@ -37,6 +36,10 @@
 // A worker that has not announced itself for this long is dropped once its leases are over.
 constexpr time_ms silent_worker_limit{20'000};
 constexpr time_ms machine_plan_interval{100};
+// Leases of an earlier leader end after this time: on a clock that is 2% slow, and granted by an
+// estimate of that clock that was up to 2% of a 2 s pause ahead.
+constexpr time_ms inherited_lease{
+    static_cast<time_ms>(static_cast<double>(worker_lease) / slow_clock_rate) + 100};
 
 bool dependencies_done(const job& owner, const occurrence& in, std::size_t step) {
     return std::ranges::all_of(owner.spec.steps[step].depends_on, [&](std::uint32_t earlier) {
@@ -53,12 +56,30 @@
 controller::controller(const job_table& table, controller_settings settings)
     : table_(table), settings_(std::move(settings)), machines_(table, settings_.machines) {}
 
-void controller::lead(std::uint64_t fence, time_ms now) {
+void controller::lead(std::uint64_t fence, time_ms now, time_ms wall) {
     stop_leading();
     fence_ = fence;
     lead_since_ = now;
     inherit_runs(now);
-    machines_.lead(fence, now);
+    inherit_load(now, wall);
+    machines_.lead(fence, now, wall);
+}
+
+// Jobs that an earlier leader took in the last moments are part of the load that is offered.
+void controller::inherit_load(time_ms now, time_ms wall) {
+    constexpr time_ms recent{3'000};
+    load_seen_ = {};
+    std::vector<const job*> jobs;
+    for (const auto& [id, item] : table_.jobs()) {
+        if (!item.lasting() && item.spec.times == 0 && item.accepted_at > wall - recent &&
+            item.accepted_at <= wall)
+            jobs.push_back(&item);
+    }
+    std::ranges::sort(jobs, {}, &job::accepted_at);
+    for (const auto* item : jobs)
+        load_seen_.offered(pool_of(*item), item->id,
+                           estimated_work(item->spec, estimate_rate(item->queue)),
+                           now - (wall - item->accepted_at));
 }
 
 void controller::stop_leading() {
@@ -74,8 +95,7 @@
 
 // Runs that the log knows are taken over with the lease that an earlier leader may have granted.
 void controller::inherit_runs(time_ms now) {
-    const auto lease_end =
-        now + static_cast<time_ms>(std::ceil(static_cast<double>(worker_lease) / slow_clock_rate));
+    const auto lease_end = now + inherited_lease;
     for (const auto& id : table_.open_jobs()) {
         const auto& item = *table_.find_job(id);
         for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
@@ -488,10 +508,10 @@
 void controller::offered(const queue_config& queue, const std::string& id, const job_spec& spec,
                          time_ms now) {
     if (!std::ranges::any_of(spec.steps, &step_spec::lasting) && spec.times == 0)
-        forecast_.offered(queue.pool, id, estimated_work(spec, estimate_rate(queue.name)), now);
+        load_seen_.offered(queue.pool, id, estimated_work(spec, estimate_rate(queue.name)), now);
 }
 
-// Load pattern: see surge_forecast.h and machine_manager.h.
+// Load patterns: see offered_load.h and machine_manager.h.
 std::map<std::string, pool_demand> controller::measure_demand(time_ms now) const {
     // Room for uneven packing of tasks on workers.
     constexpr double headroom = 1.2;
@@ -499,7 +519,7 @@
     std::map<std::string, pool_demand> out;
     for (const auto& pool : table_.config().pools) {
         const auto ahead = machines_.move_time() + contact_time;
-        const auto coming = forecast_.expected(pool.name, now, ahead);
+        const auto coming = load_seen_.expected(pool.name, now, ahead);
         const auto wanted = std::max(coming, load_of(pool.name).in_demand);
         const auto blocked = blocked_.find(pool.name);
         out[pool.name].blocked = blocked == blocked_.end() ? 0 : blocked->second;
@@ -514,6 +534,8 @@
     if (!leading())
         return;
     for (std::size_t i = 0; i < done.log.size(); ++i) {
+        if (const auto* announced = std::get_if<order_machine>(&done.log[i]))
+            machines_.committed(*announced, now, out_.orders);
         const auto* start = std::get_if<start_run>(&done.log[i]);
         if (!start)
             continue;
@@ -545,6 +567,8 @@
             starting_.erase(start->task);
             if (auto* on = worker_of(start->worker))
                 on->remove({start->task, start->run});
+        } else if (const auto* announced = std::get_if<order_machine>(&done.log[i])) {
+            machines_.rejected(*announced);
         } else {
             retry_.log.push_back(done.log[i]);
         }
@@ -879,7 +903,6 @@
         review_runs(item, now);
     if (now - machines_planned_at_ >= machine_plan_interval) {
         machines_planned_at_ = now;
-        forecast_.update(now);
         machines_.decide(workers_, measure_demand(now), now, wall, out_.log, out_.orders);
     }
     place(now, wall);
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -8,7 +8,7 @@
 #include "workload/admission.h"
 #include "workload/machine_manager.h"
 #include "workload/placement.h"
-#include "workload/surge_forecast.h"
+#include "workload/offered_load.h"
 
 #include <map>
 #include <set>
@@ -52,9 +52,10 @@
     controller(const job_table& table, controller_settings settings);
 
     // This node leads from now on, under a new fence.
-    void lead(std::uint64_t fence, time_ms now);
+    void lead(std::uint64_t fence, time_ms now, time_ms wall);
     void stop_leading();
     bool leading() const { return fence_ != 0; }
+    std::uint64_t fence() const { return fence_; }
 
     // A worker announced itself; false if the announcement is out of date.
     bool observe(const worker_report& report, time_ms now);
@@ -101,6 +102,7 @@
 
     worker* worker_of(const worker_ref& ref);
     void inherit_runs(time_ms now);
+    void inherit_load(time_ms now, time_ms wall);
     void forget_life(worker& gone, const char* reason);
     void retire_lives(time_ms now);
     void drop_worker(const std::string& id);
@@ -142,7 +144,7 @@
     std::map<task_id, std::string> failed_on_; // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
     std::set<worker_ref> ended_lives_; // their machines were ordered away
-    surge_forecast forecast_;
+    offered_load load_seen_;
     machine_manager machines_;
     time_ms machines_planned_at_{0};
     decisions out_;
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -242,7 +242,8 @@
     out.text(op.machine);
     out.u8(static_cast<std::uint8_t>(op.phase));
 }
-void put(writer& out, const hold_machines& op) {
+void put(writer& out, const order_machine& op) {
+    out.text(op.machine);
     out.text(op.node);
 }
 
@@ -293,8 +294,12 @@
         op.phase = static_cast<upkeep_phase>(in.u8());
         return op;
     }
-    case 8:
-        return hold_machines{in.text()};
+    case 8: {
+        order_machine op;
+        op.machine = in.text();
+        op.node = in.text();
+        return op;
+    }
     default:
         known = false;
         return cancel_job{};
@@ -404,7 +409,11 @@
     out.u8(table_format);
     put(out, now_);
     put(out, config_);
-    out.text(holder_);
+    write_list(out, holders_, [&](const auto& item) {
+        out.text(item.first);
+        out.text(item.second.node);
+        put(out, item.second.at);
+    });
     write_list(out, jobs_, [&](const auto& item) { put(out, item.second); });
     write_list(out, open_, [&](const std::string& id) { out.text(id); });
     write_list(out, ended_, [&](const auto& item) {
@@ -430,7 +439,11 @@
             return false;
         loaded.now_ = take_time(in);
         loaded.config_ = take_configuration(in);
-        loaded.holder_ = in.text();
+        read_list(in, [&] {
+            auto& holder = loaded.holders_[in.text()];
+            holder.node = in.text();
+            holder.at = take_time(in);
+        });
         read_list(in, [&] {
             auto item = take_job(in);
             auto id = item.id;
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -222,8 +222,8 @@
     return true;
 }
 
-bool job_table::on(const hold_machines& op) {
-    holder_ = op.node;
+bool job_table::on(const order_machine& op) {
+    holders_[op.machine] = {op.node, now_};
     return true;
 }
 
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -76,6 +76,12 @@
     bool completed() const;
 };
 
+// The node that gave the last order about a machine.
+struct machine_holder {
+    std::string node;
+    time_ms at{0}; // wall clock of that node
+};
+
 // Commands. Each names the outcome that its proposer wants; `apply` checks that it still holds.
 struct put_configuration {
     configuration value;
@@ -118,13 +124,15 @@
     std::string machine;
     upkeep_phase phase = upkeep_phase::due;
 };
-// The node that gives orders about machines from now on.
-struct hold_machines {
+// A node is about to give an order about a machine; the order follows only once this is
+// committed, so that a later leader knows which machines had another holder a moment ago.
+struct order_machine {
+    std::string machine;
     std::string node;
 };
 
 using operation = std::variant<put_configuration, submit_job, cancel_job, start_run, end_run,
-                               lose_run, put_wave, mark_upkeep, hold_machines>;
+                               lose_run, put_wave, mark_upkeep, order_machine>;
 
 // One log entry: operations that are applied in order.
 struct command {
@@ -148,7 +156,7 @@
     // Ids of jobs that have not ended, and of ended ones with assigned runs.
     const std::set<std::string>& open_jobs() const { return open_; }
     const std::map<std::uint64_t, wave>& waves() const { return waves_; }
-    const std::string& machines_holder() const { return holder_; }
+    const std::map<std::string, machine_holder>& machine_holders() const { return holders_; }
 
     std::string save() const;
     // False if the bytes are no saved state; the table is then unchanged. Empty bytes reset it.
@@ -163,7 +171,7 @@
     bool on(const lose_run& op);
     bool on(const put_wave& op);
     bool on(const mark_upkeep& op);
-    bool on(const hold_machines& op);
+    bool on(const order_machine& op);
 
     task* task_of(const task_id& id, job** owner);
     void finish_task(job& owner, const task_id& id);
@@ -178,7 +186,7 @@
     std::set<std::string> open_;
     std::map<time_ms, std::vector<std::string>> ended_; // by end time
     std::map<std::uint64_t, wave> waves_;
-    std::string holder_;
+    std::map<std::string, machine_holder> holders_;
     time_ms now_{0};        // of the command that is applied
     std::uint64_t term_ = 0; // of the command that is applied
 };
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -17,11 +17,13 @@
 constexpr time_ms list_after_order{300};
 constexpr time_ms list_retry{400};
 constexpr time_ms pool_log_interval{500};
+// Wall clocks of two nodes may differ by this much while one of them has jumped.
+constexpr time_ms wall_clock_error{2'600};
 // An order without a clear answer is repeated after this time.
 constexpr time_ms order_retry{700};
-// A machine that is not needed goes to the standby pool after this time without work. A move costs
-// as much as 1.1 s of a machine in a pool.
-constexpr time_ms rest_after{800};
+// A machine that is not needed goes to the standby pool after this time without work. A move and
+// the way back cost as much as 2.3 s of a machine in a pool.
+constexpr time_ms rest_after{1'500};
 // A machine that has just come back is reported by its worker after this time at the latest.
 constexpr time_ms settle_time{1'000};
 // Part of a wave's time that is used; the rest is for machines that come back late.
@@ -57,32 +59,49 @@
 machine_manager::machine_manager(const job_table& table, machine_settings settings)
     : table_(table), settings_(std::move(settings)) {}
 
-void machine_manager::lead(std::uint64_t fence, time_ms now) {
+void machine_manager::lead(std::uint64_t fence, time_ms now, time_ms wall) {
     fence_ = fence;
     machines_.clear();
-    holder_proposed_ = false;
+    held_by_others_.clear();
     list_under_way_ = false;
     listed_at_ = first_listed_at_ = 0;
     list_due_at_ = now;
-    // Another node may have given orders until a moment ago.
-    const bool other = !table_.machines_holder().empty() &&
-                       table_.machines_holder() != settings_.node;
-    orders_from_ = other ? now + settings_.holder_turn : now;
+    for (const auto& [machine, holder] : table_.machine_holders()) {
+        const auto passed = wall - holder.at;
+        const auto turn = settings_.holder_turn + wall_clock_error;
+        if (holder.node != settings_.node && passed < turn)
+            held_by_others_[machine] = now + std::min(turn, turn - passed);
+    }
 }
 
-void machine_manager::holder_committed(time_ms now) {
-    orders_from_ = std::max(orders_from_, now);
+// Tells the log about an order before it is given.
+void machine_manager::announce(managed_machine& item, order value, time_ms now,
+                               std::vector<operation>& log) {
+    item.order_under_way = true;
+    item.ordered_at = now;
+    item.announced = std::move(value);
+    log.emplace_back(order_machine{item.report.machine, settings_.node});
 }
 
-bool machine_manager::may_order(time_ms now, std::vector<operation>& log) {
-    if (!settings_.available)
-        return false;
-    if (table_.machines_holder() != settings_.node) {
-        if (!std::exchange(holder_proposed_, true))
-            log.emplace_back(hold_machines{settings_.node});
-        return false;
-    }
-    return now >= orders_from_ && listed_at_ != 0;
+void machine_manager::committed(const order_machine& announced, time_ms now,
+                                std::vector<order>& orders) {
+    const auto at = machines_.find(announced.machine);
+    if (at == machines_.end() || !at->second.announced)
+        return;
+    at->second.ordered_at = now;
+    orders.push_back(std::move(*at->second.announced));
+    at->second.announced.reset();
+}
+
+void machine_manager::rejected(const order_machine& announced) {
+    const auto at = machines_.find(announced.machine);
+    if (at == machines_.end())
+        return;
+    auto& item = at->second;
+    item.announced.reset();
+    item.order_under_way = false;
+    item.moving_to.reset();
+    item.upkeep_wave = 0;
 }
 
 std::string machine_manager::worker_on(const std::string& machine) const {
@@ -159,11 +178,16 @@
     return at == workers.end() ? nullptr : &at->second;
 }
 
+bool machine_manager::held_by_other(const std::string& machine, time_ms now) const {
+    const auto at = held_by_others_.find(machine);
+    return at != held_by_others_.end() && now < at->second;
+}
+
 // True if nothing runs on a machine, as far as anybody knows, and nothing is about to.
 bool machine_manager::is_idle(const managed_machine& item, const worker_map& workers,
                               time_ms now) const {
     if (item.report.state != machine_state::up || item.order_under_way || item.moving_to ||
-        item.upkeep_wave != 0 || now - item.listed_at > 2 * list_interval)
+        item.upkeep_wave != 0 || held_by_other(item.report.machine, now) || now - item.listed_at > 2 * list_interval)
         return false;
     if (item.report.worker.empty())
         return true;
@@ -268,7 +292,7 @@
 }
 
 void machine_manager::plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
-                                std::vector<operation>& log, std::vector<order>& orders) {
+                                std::vector<operation>& log) {
     std::uint32_t down = 0;
     std::vector<managed_machine*> due;
     for (const auto& [name, phase] : item.machines) {
@@ -284,9 +308,7 @@
             // An answer that did not come is asked for again: the order is idempotent.
             if (machine.upkeep_wave != 0 && phase != upkeep_phase::done &&
                 !machine.order_under_way && now - machine.ordered_at > order_retry) {
-                machine.order_under_way = true;
-                machine.ordered_at = now;
-                orders.emplace_back(upkeep_order{name, item.order.number, fence_});
+                announce(machine, upkeep_order{name, item.order.number, fence_}, now, log);
             }
             continue;
         }
@@ -297,7 +319,7 @@
             continue;
         }
         if (machine.report.state == machine_state::up && !machine.moving_to &&
-            !machine.order_under_way)
+            !machine.order_under_way && !held_by_other(name, now))
             due.push_back(&machine);
     }
     if (due.empty() || down >= item.order.cap)
@@ -337,31 +359,28 @@
         }
         if (on)
             on->reserved = true;
-        machine->order_under_way = true;
-        machine->ordered_at = now;
         machine->upkeep_wave = item.order.number;
-        orders.emplace_back(upkeep_order{machine->report.machine, item.order.number, fence_});
+        announce(*machine, upkeep_order{machine->report.machine, item.order.number, fence_}, now,
+                 log);
     }
 }
 
 void machine_manager::plan_upkeep(worker_map& workers, time_ms now, time_ms wall,
-                                  std::vector<operation>& log, std::vector<order>& orders) {
+                                  std::vector<operation>& log) {
     for (const auto& [number, item] : table_.waves()) {
         if (!item.completed())
-            plan_wave(item, workers, now, wall, log, orders);
+            plan_wave(item, workers, now, wall, log);
     }
 }
 
 void machine_manager::order_move(managed_machine& item, const std::string& pool,
-                                 worker_map& workers, time_ms now, std::vector<order>& orders) {
+                                 worker_map& workers, time_ms now, std::vector<operation>& log) {
     const auto at = workers.find(item.report.worker);
     if (at != workers.end())
         at->second.reserved = true;
-    item.order_under_way = true;
-    item.ordered_at = now;
     item.moving_to = pool;
     item.idle_since = 0;
-    orders.emplace_back(move_order{item.report.machine, pool, fence_});
+    announce(item, move_order{item.report.machine, pool, fence_}, now, log);
 }
 
 void machine_manager::log_pools(const std::map<std::string, pool_demand>& demand,
@@ -387,7 +406,7 @@
 
 void machine_manager::plan_moves(worker_map& workers,
                                  const std::map<std::string, pool_demand>& demand, time_ms now,
-                                 std::vector<order>& orders) {
+                                 std::vector<operation>& log) {
     const auto standby = standby_pools();
     // Processor for short tasks of each pool, with machines on their way.
     std::map<std::string, std::int64_t> supply;
@@ -397,9 +416,7 @@
             if (!item.order_under_way && now - item.ordered_at > order_retry &&
                 item.report.state == machine_state::up && item.report.pool != *item.moving_to &&
                 now - item.listed_at < order_retry) {
-                item.order_under_way = true;
-                item.ordered_at = now;
-                orders.emplace_back(move_order{name, *item.moving_to, fence_});
+                announce(item, move_order{name, *item.moving_to, fence_}, now, log);
             }
             continue;
         }
@@ -459,7 +476,7 @@
             missing[from] += cpu;
         if (missing.contains(pool))
             missing[pool] -= cpu;
-        order_move(*item, pool, workers, now, orders);
+        order_move(*item, pool, workers, now, log);
     }
 }
 
@@ -474,12 +491,12 @@
         list_under_way_ = true;
         orders.emplace_back(list_machines_order{});
     }
-    if (!may_order(now, log))
+    if (listed_at_ == 0)
         return;
     release_reservations(workers);
     note_idle(workers, now);
-    plan_upkeep(workers, now, wall, log, orders);
-    plan_moves(workers, demand, now, orders);
+    plan_upkeep(workers, now, wall, log);
+    plan_moves(workers, demand, now, log);
 }
 
 } // namespace clementine::workload
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -34,6 +34,7 @@
     machine_report report;
     bool order_under_way = false;
     time_ms ordered_at{0};
+    std::optional<order> announced;       // follows when the log has taken its announcement
     std::optional<std::string> moving_to; // until the list shows it there
     std::uint64_t upkeep_wave = 0;        // ordered and not back yet; 0: none
     time_ms idle_since{0};                // 0: not idle
@@ -44,14 +45,16 @@
   public:
     machine_manager(const job_table& table, machine_settings settings);
 
-    void lead(std::uint64_t fence, time_ms now);
+    void lead(std::uint64_t fence, time_ms now, time_ms wall);
     void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
     // True if everything on the machine's worker has ended.
     bool observe(const move_order& order, order_answer answer, time_ms now);
     bool observe(const upkeep_order& order, order_answer answer, time_ms now);
     // Worker that ran on a machine when it was last listed; empty if unknown.
     std::string worker_on(const std::string& machine) const;
-    void holder_committed(time_ms now);
+    // The log took or refused the announcement of an order.
+    void committed(const order_machine& announced, time_ms now, std::vector<order>& orders);
+    void rejected(const order_machine& announced);
 
     // Adds operations and orders. `workers` are reserved for what is planned.
     void decide(std::map<std::string, worker>& workers,
@@ -67,23 +70,22 @@
   private:
     using worker_map = std::map<std::string, worker>;
 
-    bool may_order(time_ms now, std::vector<operation>& log);
-    bool wanted_list(time_ms now) const;
+    void announce(managed_machine& item, order value, time_ms now, std::vector<operation>& log);
+    bool held_by_other(const std::string& machine, time_ms now) const;
     void note_idle(const worker_map& workers, time_ms now);
     const worker* worker_of(const managed_machine& item, const worker_map& workers) const;
     bool is_idle(const managed_machine& item, const worker_map& workers, time_ms now) const;
     void release_reservations(worker_map& workers) const;
-    void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log,
-                     std::vector<order>& orders);
+    void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log);
     void plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
-                   std::vector<operation>& log, std::vector<order>& orders);
+                   std::vector<operation>& log);
     bool clear_for_upkeep(worker& on, worker_map& workers) const;
     void plan_moves(worker_map& workers, const std::map<std::string, pool_demand>& demand,
-                    time_ms now, std::vector<order>& orders);
+                    time_ms now, std::vector<operation>& log);
     void log_pools(const std::map<std::string, pool_demand>& demand,
                    const std::map<std::string, std::int64_t>& supply, time_ms now);
     void order_move(managed_machine& item, const std::string& pool, worker_map& workers,
-                    time_ms now, std::vector<order>& orders);
+                    time_ms now, std::vector<operation>& log);
 
     const job_table& table_;
     machine_settings settings_;
@@ -91,8 +93,8 @@
     std::map<std::string, managed_machine> machines_;
     std::set<std::string> standby_pools() const;
     std::set<std::pair<std::string, std::string>> refused_; // machine and pool that do not match
-    bool holder_proposed_ = false;
-    time_ms orders_from_{0}; // no orders before
+    // Machines that another node gave orders about, until when they are left alone.
+    std::map<std::string, time_ms> held_by_others_;
     bool list_under_way_ = false;
     time_ms listed_at_{0};
     time_ms first_listed_at_{0}; // by this leader
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -82,7 +82,7 @@
     controller_settings settings;
     settings.machines = {"n1", options_.machine_orders, 3'000, move_duration, upkeep_duration};
     controller_ = std::make_unique<controller>(table_, settings);
-    controller_->lead(term_, now_);
+    controller_->lead(term_, now_, now_);
 }
 
 void fake_fleet::violation(const std::string& text) {
@@ -497,7 +497,7 @@
     controller_->stop_leading();
     at(now_ + pause + election_time, [this] {
         idle_leader = false;
-        controller_->lead(term_, now_);
+        controller_->lead(term_, now_, now_);
     });
 }
 
