Give a wave's machine up only after 15 s without being listed, and say so in the log

Ruled out: crashed machines, which stay listed as down. The only way to mark a machine without an answer is the missing list entry; its limit was 4 s and left no line.

--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -28,8 +28,9 @@
 constexpr time_ms settle_time{1'000};
 // Part of a wave's time that is used; the rest is for machines that come back late.
 constexpr double wave_time_used = 0.8;
-// A machine that the platform has not listed for this long has been taken away.
-constexpr time_ms unlisted_limit{4'000};
+// A machine that the platform has not listed for this long has been taken away; crashed machines
+// are back within 10 s.
+constexpr time_ms unlisted_limit{15'000};
 // Spare processor of a pool that is kept for stray jobs, in thousandths of a core.
 constexpr std::int64_t least_wanted{8'000};
 
@@ -123,6 +124,13 @@
     list_due_at_ = now + list_interval;
     for (const auto& report : machines) {
         auto& item = machines_[report.machine];
+        if (item.report.state != report.state || item.report.pool != report.pool)
+            log_event(log_level::info, "machine_state")
+                .field("machine", report.machine)
+                .field("state", to_name(report.state))
+                .field("pool", report.pool)
+                .field("worker", report.worker)
+                .field("unlisted_ms", item.listed_at == 0 ? time_ms{0} : now - item.listed_at);
         const bool busy = item.order_under_way || now - item.ordered_at < list_after_order;
         item.report = report;
         item.listed_at = now;
@@ -291,6 +299,16 @@
     return clear;
 }
 
+// A machine that is gone needs no upkeep any more.
+void machine_manager::give_up_upkeep(const wave& item, const std::string& machine,
+                                     std::vector<operation>& log) const {
+    log_event(log_level::warning, "upkeep_given_up")
+        .field("wave", item.order.number)
+        .field("machine", machine)
+        .field("reason", "not listed");
+    log.emplace_back(mark_upkeep{item.order.number, machine, upkeep_phase::done});
+}
+
 void machine_manager::plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
                                 std::vector<operation>& log) {
     std::uint32_t down = 0;
@@ -299,7 +317,7 @@
         const auto known = machines_.find(name);
         if (known == machines_.end()) {
             if (phase != upkeep_phase::done && listed_at_ - first_listed_at_ > unlisted_limit)
-                log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
+                give_up_upkeep(item, name, log);
             continue;
         }
         auto& machine = known->second;
@@ -315,7 +333,7 @@
         if (phase == upkeep_phase::done)
             continue;
         if (listed_at_ - machine.listed_at > unlisted_limit) {
-            log.emplace_back(mark_upkeep{item.order.number, name, upkeep_phase::done});
+            give_up_upkeep(item, name, log);
             continue;
         }
         if (machine.report.state == machine_state::up && !machine.moving_to &&
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -77,6 +77,8 @@
     bool is_idle(const managed_machine& item, const worker_map& workers, time_ms now) const;
     void release_reservations(worker_map& workers) const;
     void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log);
+    void give_up_upkeep(const wave& item, const std::string& machine,
+                        std::vector<operation>& log) const;
     void plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
                    std::vector<operation>& log);
     bool clear_for_upkeep(worker& on, worker_map& workers) const;
