Shorten the leader's lease; take entry nodes without links out of rotation

Change: lease 600 ms, elections 720 to 1,300 ms; readiness needs a link; callers wait 500 ms for a leader before a refusal.

--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -16,13 +16,13 @@
 // The leader sends to each member at least this often.
 inline constexpr time_ms heartbeat_interval{100};
 // A leader may serve reads and act for this long after it sent a message that a majority answered.
-inline constexpr time_ms lease_duration{900};
+inline constexpr time_ms lease_duration{600};
 // A voter that heard from a leader supports no other one for this long. It exceeds the lease with
-// 10% clock rate error (990 ms), plus 60 ms for jumps of its own clock.
-inline constexpr time_ms vote_promise{1'050};
+// 10% clock rate error (660 ms), plus 60 ms for jumps of its own clock.
+inline constexpr time_ms vote_promise{720};
 // Election timeouts are drawn from this range. Shorter ones would only meet refusals.
-inline constexpr time_ms election_timeout_min{1'050};
-inline constexpr time_ms election_timeout_max{2'000};
+inline constexpr time_ms election_timeout_min{720};
+inline constexpr time_ms election_timeout_max{1'300};
 // Longest time between two ticks in normal operation. A longer one is a frozen process or a clock
 // step, and counts as 10 ms only towards a voter's promise.
 inline constexpr time_ms max_tick_interval{50};
--- a/src/consensus/storage.cpp
+++ b/src/consensus/storage.cpp
@@ -356,8 +356,8 @@
 }
 
 std::optional<storage_error> storage::set_up(replica_id id, const snapshot& first) {
-    const bool allowed = status_ == storage_status::empty ||
-                         status_ == storage_status::corrupt || status_ == storage_status::ready;
+    const bool allowed = status_ == storage_status::empty || status_ == storage_status::corrupt ||
+                         status_ == storage_status::ready;
     if (!allowed && !error_)
         return storage_error{.reason = config_.folder + " is in use or foreign"};
     return guarded([&] { return try_set_up(id, first); });
--- a/src/control/cluster_links.cpp
+++ b/src/control/cluster_links.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace clementine::control {
@@ -100,6 +102,10 @@
     return at != channels_.end() && at->second->is_open();
 }
 
+bool cluster_links::any_open() const {
+    return std::ranges::any_of(channels_, [](const auto& item) { return item.second->is_open(); });
+}
+
 void cluster_links::broadcast(const wire::message& value) {
     for (const auto& peer : callers_)
         peer->send(value);
--- a/src/control/cluster_links.h
+++ b/src/control/cluster_links.h
@@ -38,6 +38,7 @@
     void keep_only(const std::set<std::string>& nodes);
     bool send(const std::string& node, const wire::message& value);
     bool is_open(const std::string& node) const;
+    bool any_open() const;
     // Sends to every node that called this one.
     void broadcast(const wire::message& value);
     void stop();
--- a/src/control/http_pool.cpp
+++ b/src/control/http_pool.cpp
@@ -54,12 +54,11 @@
         stream_.expires_after(std::chrono::milliseconds(item.limit));
         if (connected_)
             return write();
-        stream_.async_connect(pool_->target_,
-                              [self = shared_from_this()](beast::error_code error) {
-                                  if (error)
-                                      return self->fail(call_failure::refused);
-                                  self->handle_connected();
-                              });
+        stream_.async_connect(pool_->target_, [self = shared_from_this()](beast::error_code error) {
+            if (error)
+                return self->fail(call_failure::refused);
+            self->handle_connected();
+        });
     }
 
     void stop() {
@@ -155,9 +154,8 @@
 void http_pool::dispatch() {
     std::erase_if(connections_, [](const auto& item) { return item->closed() && !item->busy(); });
     while (!queue_.empty() && !stopped_) {
-        auto free = std::ranges::find_if(connections_, [](const auto& item) {
-            return !item->busy() && !item->closed();
-        });
+        auto free = std::ranges::find_if(
+            connections_, [](const auto& item) { return !item->busy() && !item->closed(); });
         if (free == connections_.end()) {
             if (connections_.size() >= max_connections_)
                 return;
--- a/src/control/http_pool.h
+++ b/src/control/http_pool.h
@@ -26,9 +26,9 @@
 
 // Why there is no response.
 enum class call_failure {
-    refused,  // no connection was made: the request has not been sent
-    timeout,  // sent, perhaps carried out
-    broken,   // the connection ended before the response: perhaps carried out
+    refused, // no connection was made: the request has not been sent
+    timeout, // sent, perhaps carried out
+    broken,  // the connection ended before the response: perhaps carried out
     stopped
 };
 
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -210,9 +210,8 @@
 void job_control::handle_link(const std::shared_ptr<wire::connection>& peer,
                               wire::message&& value) {
     if (const auto* request = std::get_if<wire::call>(&value)) {
-        const bool taken = handle_call(*request, [peer](const wire::call_reply& reply) {
-            peer->send(reply);
-        });
+        const bool taken =
+            handle_call(*request, [peer](const wire::call_reply& reply) { peer->send(reply); });
         if (!taken) {
             wire::call_reply declined;
             declined.id = request->id;
@@ -435,13 +434,13 @@
     if (item->ended())
         return reply(answer(request.id, status_ok));
     log_event(log_level::info, "job_cancelled").field("job", id);
-    const bool proposed = propose({cancel_job{id}},
-                                  [this, reply, request_id = request.id](const outcome& result) {
-                                      if (!result)
-                                          return;
-                                      reply(answer(request_id, status_ok));
-                                      request_round();
-                                  });
+    const bool proposed =
+        propose({cancel_job{id}}, [this, reply, request_id = request.id](const outcome& result) {
+            if (!result)
+                return;
+            reply(answer(request_id, status_ok));
+            request_round();
+        });
     if (!proposed)
         reply(answer(request.id, status_unavailable));
 }
@@ -475,15 +474,14 @@
             .field("version", table_.config().version);
         return reply(answer(id, status_ok));
     }
-    const bool proposed =
-        propose({put_configuration{request.value}},
-                [this, reply, id, version](const outcome& result) {
-                    if (!result)
-                        return;
-                    log_event(log_level::info, "configuration_in_force").field("version", version);
-                    reply(answer(id, status_ok));
-                    request_round();
-                });
+    const bool proposed = propose(
+        {put_configuration{request.value}}, [this, reply, id, version](const outcome& result) {
+            if (!result)
+                return;
+            log_event(log_level::info, "configuration_in_force").field("version", version);
+            reply(answer(id, status_ok));
+            request_round();
+        });
     if (!proposed)
         reply(answer(id, status_unavailable));
 }
@@ -499,13 +497,13 @@
         .field("wave", request.order.number)
         .field("machines", std::uint64_t{request.order.machines.size()})
         .field("cap", request.order.cap);
-    const bool proposed = propose({put_wave{request.order}},
-                                  [this, reply, id](const outcome& result) {
-                                      if (!result)
-                                          return;
-                                      reply(answer(id, status_ok));
-                                      request_round();
-                                  });
+    const bool proposed =
+        propose({put_wave{request.order}}, [this, reply, id](const outcome& result) {
+            if (!result)
+                return;
+            reply(answer(id, status_ok));
+            request_round();
+        });
     if (!proposed)
         reply(answer(id, status_unavailable));
 }
@@ -550,8 +548,7 @@
         return respond(make_response(http::status::not_found, "", "text/plain"));
     metrics_.set("clementine_replica_leader", {}, was_serving_ ? 1 : 0);
     metrics_.set("clementine_replica_term", {}, static_cast<double>(log_->term()));
-    metrics_.set("clementine_replica_commit_index", {},
-                 static_cast<double>(log_->commit_index()));
+    metrics_.set("clementine_replica_commit_index", {}, static_cast<double>(log_->commit_index()));
     metrics_.set("clementine_log_sync_ms", {}, static_cast<double>(log_->last_sync_took()));
     metrics_.set("clementine_configuration_version", {},
                  static_cast<double>(table_.config().version));
@@ -656,8 +653,9 @@
          machines = std::move(machines)](const http_result& exchange) mutable {
             order_result result;
             if (exchange.failure)
-                result.answer = *exchange.failure == call_failure::refused ? order_answer::not_sent
-                                                                           : order_answer::no_answer;
+                result.answer = *exchange.failure == call_failure::refused
+                                    ? order_answer::not_sent
+                                    : order_answer::no_answer;
             else
                 result = protocol_.decode_answer(value, exchange.status, exchange.body);
             machines.insert(machines.end(), result.machines.begin(), result.machines.end());
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -24,11 +24,11 @@
 namespace clementine::control {
 
 struct job_control_settings {
-    std::string node;              // name of this node, holder of machine orders
-    std::string links;             // IP:port for links between nodes
-    std::string listen;            // IP:port for operators and workers
-    std::string admin;             // IP:port for metrics
-    std::string machines;          // IP:port of the platform's machine API; empty: none
+    std::string node;     // name of this node, holder of machine orders
+    std::string links;    // IP:port for links between nodes
+    std::string listen;   // IP:port for operators and workers
+    std::string admin;    // IP:port for metrics
+    std::string machines; // IP:port of the platform's machine API; empty: none
     std::string availability_zone;
     std::string folder;
     std::vector<std::string> seeds; // link addresses of some control nodes
--- a/src/control/job_entry.cpp
+++ b/src/control/job_entry.cpp
@@ -21,13 +21,15 @@
 constexpr time_ms max_answer_time{2'500};
 // The answer must reach the caller before it gives up.
 constexpr time_ms answer_margin{150};
-// A request that no control node can take is refused after this time. A leader that stops hands
-// over within some 100 ms; an election takes longer than a caller should be kept waiting.
-constexpr time_ms wait_for_leader{140};
-// After a refusal for want of a leader; elections take 1 to 2 s.
+// A request that no control node can take is refused after this time. A planned handover takes some
+// 100 ms, an election about 1 s; waiting for half of that costs a caller less than coming back.
+constexpr time_ms wait_for_leader{500};
+// After a refusal for want of a leader.
 constexpr time_ms retry_without_leader{1'000};
-// The load balancer goes on sending while no leader was known for less than this time.
-constexpr time_ms ready_memory{8'000};
+// Other entry nodes lack a leader as well, so this one stays in rotation for this long without one.
+constexpr time_ms ready_without_leader{8'000};
+// Without any link, others can probably serve; links are restored within 0.4 s if that is possible.
+constexpr time_ms ready_without_links{700};
 constexpr time_ms stop_check_interval{50};
 // Requests under way at a stop are given up after this much more time.
 constexpr time_ms end_limit{2'500};
@@ -46,8 +48,7 @@
 
 } // namespace
 
-job_entry::job_entry(asio::io_context& loop, job_entry_settings settings,
-                     const clock_source& clock)
+job_entry::job_entry(asio::io_context& loop, job_entry_settings settings, const clock_source& clock)
     : loop_(loop), settings_(std::move(settings)), clock_(clock), stop_timer_(loop) {
     wire::hello self;
     self.cluster = "clementineroad";
@@ -159,7 +160,16 @@
 void job_entry::handle_ready(const http_request& request, const http_respond& respond) {
     if (request.target() != settings_.ready_path)
         return respond(make_response(http::status::not_found, "", "text/plain"));
-    const bool ready = !stopping_ && router_->had_leader(ready_memory);
+    if (links_->any_open())
+        linked_at_ = clock_.now();
+    const bool linked = linked_at_ != 0 && clock_.now() - linked_at_ <= ready_without_links;
+    const bool ready = !stopping_ && linked && router_->had_leader(ready_without_leader);
+    if (ready != was_ready_)
+        log_event(log_level::info, "readiness_changed")
+            .field("ready", ready)
+            .field("linked", linked)
+            .field("leader", router_->leader());
+    was_ready_ = ready;
     respond(make_response(ready ? http::status::ok : http::status::service_unavailable,
                           ready ? "ready\n" : "not ready\n", "text/plain"));
 }
--- a/src/control/job_entry.h
+++ b/src/control/job_entry.h
@@ -64,6 +64,8 @@
     std::function<void()> stopped_;
     time_ms stop_at_{0};
     std::size_t under_way_ = 0;
+    time_ms linked_at_{0}; // when a link was last seen open
+    bool was_ready_ = false;
     bool stopping_ = false;
 };
 
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -61,8 +61,7 @@
     item.sent_at = clock_.now();
 }
 
-void leader_router::finish(std::uint64_t id, route_outcome outcome,
-                           const wire::call_reply& reply) {
+void leader_router::finish(std::uint64_t id, route_outcome outcome, const wire::call_reply& reply) {
     const auto at = pending_.find(id);
     if (at == pending_.end())
         return;
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -35,7 +35,7 @@
 };
 
 struct route_limits {
-    time_ms total{0};      // from the arrival of the request to the answer "unknown"
+    time_ms total{0};          // from the arrival of the request to the answer "unknown"
     time_ms without_leader{0}; // wait for a leader before the answer "not run"
 };
 
@@ -76,8 +76,8 @@
         time_ms deadline{0};
         time_ms leader_deadline{0};
         time_ms sent_at{0};
-        std::string sent_to;   // empty while it waits
-        bool unsure = false;   // an earlier attempt went unanswered
+        std::string sent_to; // empty while it waits
+        bool unsure = false; // an earlier attempt went unanswered
         done_handler done;
     };
 
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -75,8 +75,8 @@
         .field("reason", report.reason)
         .field("cut_bytes", report.cut_bytes);
     const bool founder =
-        settings_.first_start && std::ranges::find(settings_.founders, settings_.self) !=
-                                     settings_.founders.end();
+        settings_.first_start &&
+        std::ranges::find(settings_.founders, settings_.self) != settings_.founders.end();
     switch (report.status) {
     case consensus::storage_status::ready:
         id_ = report.id;
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -120,9 +120,9 @@
     bool pumping_ = false;
     bool was_member_ = false; // a published membership has contained this id
     bool start_over_due_ = false;
-    bool writing_ = false; // the disk thread is busy
-    std::map<std::string, consensus::replica_id> joins_; // node -> id
-    std::map<consensus::replica_id, std::string> senders_; // nodes of ids that sent something
+    bool writing_ = false;                                  // the disk thread is busy
+    std::map<std::string, consensus::replica_id> joins_;    // node -> id
+    std::map<consensus::replica_id, std::string> senders_;  // nodes of ids that sent something
     std::map<consensus::replica_id, time_ms> silent_since_; // voters, at the leader
     boost::asio::io_context disk_;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> disk_work_;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -158,10 +158,9 @@
     std::vector<consensus::member> members;
 };
 
-using message =
-    std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state, version_report,
-                 routing::entry_tick, claim_request, claim_reply, claim_release, claim_outcome,
-                 claim_sync, home_release, join_request, demand_report,
-                 call, call_reply, directory>;
+using message = std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state,
+                             version_report, routing::entry_tick, claim_request, claim_reply,
+                             claim_release, claim_outcome, claim_sync, home_release, join_request,
+                             demand_report, call, call_reply, directory>;
 
 } // namespace clementine::wire
--- a/src/workload/admission.cpp
+++ b/src/workload/admission.cpp
@@ -56,9 +56,9 @@
             for (const auto earlier : step.depends_on)
                 begin = std::max(begin, ends[earlier]);
             const bool over = in.steps[i].done == step.count;
-            ends.push_back(over ? begin
-                                : begin + static_cast<time_ms>(
-                                              rate * static_cast<double>(step.estimate)));
+            ends.push_back(
+                over ? begin
+                     : begin + static_cast<time_ms>(rate * static_cast<double>(step.estimate)));
             longest = std::max(longest, ends.back());
         }
     }
--- a/src/workload/admission.h
+++ b/src/workload/admission.h
@@ -10,8 +10,8 @@
 namespace clementine::workload {
 
 struct admission_input {
-    time_ms chain{0};  // longest chain of work of the job
-    time_ms wait{0};   // until the work that was taken before it has been started
+    time_ms chain{0}; // longest chain of work of the job
+    time_ms wait{0};  // until the work that was taken before it has been started
     time_ms target_latency{0};
     double stretch = 1.0;
     bool lasting = false;
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -337,10 +337,9 @@
                 const auto took = static_cast<double>(now - run->confirmed_at);
                 auto& rate = estimate_rates_.try_emplace(owner->queue, 1.0).first->second;
                 if (step.estimate > 0 && !step.lasting)
-                    rate += estimate_weight *
-                            (std::clamp(took / static_cast<double>(step.estimate), lowest_rate,
-                                        highest_rate) -
-                             rate);
+                    rate += estimate_weight * (std::clamp(took / static_cast<double>(step.estimate),
+                                                          lowest_rate, highest_rate) -
+                                               rate);
             }
         } else if (item.how == run_end::failed && !stopped && !(run && run->lasting)) {
             failed_on_[item.task] = from.ref.id;
@@ -523,14 +522,12 @@
         const auto wanted = std::max(coming, load_of(pool.name).in_demand);
         const auto blocked = blocked_.find(pool.name);
         out[pool.name].blocked = blocked == blocked_.end() ? 0 : blocked->second;
-        out[pool.name].wanted =
-            static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
+        out[pool.name].wanted = static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
     }
     return out;
 }
 
-void controller::committed(const decisions& done, const std::vector<bool>& accepted,
-                           time_ms now) {
+void controller::committed(const decisions& done, const std::vector<bool>& accepted, time_ms now) {
     if (!leading())
         return;
     for (std::size_t i = 0; i < done.log.size(); ++i) {
@@ -686,8 +683,8 @@
             const auto& run = entry.second;
             return run.stop_answered_at != 0 || run.inherited;
         });
-        const bool serving = std::ranges::any_of(
-            item.runs, [](const auto& entry) { return entry.second.lasting; });
+        const bool serving =
+            std::ranges::any_of(item.runs, [](const auto& entry) { return entry.second.lasting; });
         if (item.contacted && !item.hold_unanswered) {
             order.until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.until);
@@ -736,10 +733,9 @@
                     continue;
                 if (std::exchange(first, false)) {
                     const auto chain = longest_chain(item.spec, rate);
-                    const auto due =
-                        item.accepted_at + (queue ? queue->target_latency : 0) +
-                        static_cast<time_ms>((queue ? queue->stretch : 1.0) *
-                                             static_cast<double>(chain));
+                    const auto due = item.accepted_at + (queue ? queue->target_latency : 0) +
+                                     static_cast<time_ms>((queue ? queue->stretch : 1.0) *
+                                                          static_cast<double>(chain));
                     slack = due - wall - remaining_chain(item, rate);
                 }
                 ready_step step;
@@ -821,9 +817,10 @@
         request.avoid = failed == failed_on_.end() ? std::string() : failed->second;
         auto* on = choose_worker(pool, request, now);
         if (!on) {
-            const auto left = std::ranges::count_if(
-                tasks.begin() + i, tasks.end(),
-                [](const task& one) { return one.phase == task_phase::waiting; });
+            const auto left =
+                std::ranges::count_if(tasks.begin() + i, tasks.end(), [](const task& one) {
+                    return one.phase == task_phase::waiting;
+                });
             blocked_[pool_of(*item.owner)] += left * share_of_worker(occupied(spec).cpu);
             return;
         }
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -7,8 +7,8 @@
 
 #include "workload/admission.h"
 #include "workload/machine_manager.h"
-#include "workload/placement.h"
 #include "workload/offered_load.h"
+#include "workload/placement.h"
 
 #include <map>
 #include <set>
@@ -37,7 +37,7 @@
 
 // Load of one pool, for admission and for moves.
 struct pool_load {
-    std::int64_t capacity = 0; // thousandths of a core that short tasks may use
+    std::int64_t capacity = 0;     // thousandths of a core that short tasks may use
     std::int64_t arriving = 0;     // and of machines that are on their way, or could be
     std::int64_t waiting_work = 0; // thousandths of a core times ms of tasks that were not started
     std::int64_t in_demand = 0;    // processor of tasks that run or could run now
@@ -136,14 +136,14 @@
     controller_settings settings_;
     std::uint64_t fence_ = 0;
     time_ms lead_since_{0};
-    std::map<std::string, worker> workers_;  // by id, the newest life
+    std::map<std::string, worker> workers_;         // by id, the newest life
     std::map<std::string, std::string> at_address_; // address -> id
     std::vector<worker> old_lives_; // superseded lives whose runs may still hold a lease
-    std::map<std::string, std::int64_t> blocked_; // by pool: see pool_demand
-    std::set<task_id> starting_;    // proposed to the log
-    std::map<task_id, std::string> failed_on_; // worker on which a task failed last
+    std::map<std::string, std::int64_t> blocked_;  // by pool: see pool_demand
+    std::set<task_id> starting_;                   // proposed to the log
+    std::map<task_id, std::string> failed_on_;     // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
-    std::set<worker_ref> ended_lives_; // their machines were ordered away
+    std::set<worker_ref> ended_lives_;             // their machines were ordered away
     offered_load load_seen_;
     machine_manager machines_;
     time_ms machines_planned_at_{0};
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -30,8 +30,8 @@
 }
 
 bool wave::completed() const {
-    return std::ranges::all_of(
-        machines, [](const auto& item) { return item.second == upkeep_phase::done; });
+    return std::ranges::all_of(machines,
+                               [](const auto& item) { return item.second == upkeep_phase::done; });
 }
 
 std::vector<bool> job_table::apply(const command& value, std::uint64_t term) {
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -187,7 +187,7 @@
     std::map<time_ms, std::vector<std::string>> ended_; // by end time
     std::map<std::uint64_t, wave> waves_;
     std::map<std::string, machine_holder> holders_;
-    time_ms now_{0};        // of the command that is applied
+    time_ms now_{0};         // of the command that is applied
     std::uint64_t term_ = 0; // of the command that is applied
 };
 
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -195,7 +195,8 @@
 bool machine_manager::is_idle(const managed_machine& item, const worker_map& workers,
                               time_ms now) const {
     if (item.report.state != machine_state::up || item.order_under_way || item.moving_to ||
-        item.upkeep_wave != 0 || held_by_other(item.report.machine, now) || now - item.listed_at > 2 * list_interval)
+        item.upkeep_wave != 0 || held_by_other(item.report.machine, now) ||
+        now - item.listed_at > 2 * list_interval)
         return false;
     if (item.report.worker.empty())
         return true;
@@ -342,13 +343,13 @@
     }
     if (due.empty() || down >= item.order.cap)
         return;
-    const auto end = item.accepted_at + static_cast<time_ms>(wave_time_used *
-                                                             static_cast<double>(
-                                                                 item.order.duration));
+    const auto end =
+        item.accepted_at +
+        static_cast<time_ms>(wave_time_used * static_cast<double>(item.order.duration));
     const auto left = std::max<time_ms>(1, end - wall);
     const auto each = settings_.upkeep_time + settle_time;
-    const auto needed = static_cast<std::uint32_t>(
-        (static_cast<time_ms>(due.size()) * each + left - 1) / left);
+    const auto needed =
+        static_cast<std::uint32_t>((static_cast<time_ms>(due.size()) * each + left - 1) / left);
     std::ranges::stable_sort(due, [&](const auto* a, const auto* b) {
         const auto runs = [&](const auto* machine) {
             const auto* on = worker_of(*machine, workers);
@@ -498,9 +499,8 @@
     }
 }
 
-void machine_manager::decide(worker_map& workers,
-                             const std::map<std::string, pool_demand>& demand, time_ms now,
-                             time_ms wall, std::vector<operation>& log,
+void machine_manager::decide(worker_map& workers, const std::map<std::string, pool_demand>& demand,
+                             time_ms now, time_ms wall, std::vector<operation>& log,
                              std::vector<order>& orders) {
     if (!settings_.available || now - planned_at_ < plan_interval)
         return;
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -17,10 +17,10 @@
 namespace clementine::workload {
 
 struct machine_settings {
-    std::string node;         // holder of the orders
-    bool available = false;   // the platform takes orders about machines
-    time_ms holder_turn{0};   // pause between the orders of two holders
-    time_ms move_time{0};     // a machine is away for this long when it moves
+    std::string node;       // holder of the orders
+    bool available = false; // the platform takes orders about machines
+    time_ms holder_turn{0}; // pause between the orders of two holders
+    time_ms move_time{0};   // a machine is away for this long when it moves
     time_ms upkeep_time{0};
 };
 
--- a/src/workload/orders.h
+++ b/src/workload/orders.h
@@ -88,8 +88,8 @@
 };
 
 inline constexpr name_table<14> order_answer_names{
-    "done",      "not-sent",   "no-answer", "fenced",     "superseded", "late",   "no-room",
-    "no-ticket", "unhealthy",  "other-life", "busy",       "other-wave", "overloaded", "invalid"};
+    "done",      "not-sent",  "no-answer",  "fenced", "superseded", "late",       "no-room",
+    "no-ticket", "unhealthy", "other-life", "busy",   "other-wave", "overloaded", "invalid"};
 constexpr const auto& names_of(order_answer) {
     return order_answer_names;
 }
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -43,8 +43,7 @@
     return out;
 }
 
-std::int64_t lasting_cost(const worker& candidate, const step_spec& step,
-                          const occupancy& there) {
+std::int64_t lasting_cost(const worker& candidate, const step_spec& step, const occupancy& there) {
     std::int64_t cost = there.of_step * same_step_cost;
     if (step.target_tail > 0 || there.fillers > 0)
         cost += (there.serving + there.fillers) * shared_with_lasting_cost;
@@ -62,8 +61,8 @@
 } // namespace
 
 bool accepts_runs(const worker& candidate, time_ms now) {
-    return candidate.reported && candidate.contacted && !candidate.draining &&
-           !candidate.leaving && !candidate.reserved && !candidate.hold_unanswered &&
+    return candidate.reported && candidate.contacted && !candidate.draining && !candidate.leaving &&
+           !candidate.reserved && !candidate.hold_unanswered &&
            now >= candidate.health.shunned_until &&
            !(candidate.health.on_probation && !candidate.runs.empty());
 }
--- a/src/workload/types.h
+++ b/src/workload/types.h
@@ -44,9 +44,9 @@
     bool speculative = false;         // copies may run in parallel
     bool lasting = false;             // runs until the job is cancelled
     std::string image;
-    time_ms target_tail{0};      // response time to stay below, of tasks with users of their own
-    bool filler = false;         // uses spare processor time: `need.cpu` is not counted
-    std::uint32_t may_miss = 0;  // tasks that may be unavailable at once by our own actions
+    time_ms target_tail{0};     // response time to stay below, of tasks with users of their own
+    bool filler = false;        // uses spare processor time: `need.cpu` is not counted
+    std::uint32_t may_miss = 0; // tasks that may be unavailable at once by our own actions
 
     bool operator==(const step_spec&) const = default;
 };
@@ -73,7 +73,7 @@
     time_ms target_latency{0};
     std::int64_t priority = 0; // 0 goes first
     std::uint32_t attempts = 1;
-    double stretch = 1.0;          // allowed ratio of a job's time to its longest chain of work
+    double stretch = 1.0; // allowed ratio of a job's time to its longest chain of work
     bool needs_placement_advice = false; // only workers named by the advice service may be used
 };
 
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -60,8 +60,8 @@
 struct worker_health {
     int failed = 0; // runs in a row that failed or stood still, of different jobs
     std::string last_failed_job;
-    time_ms shunned_until{0}; // no new runs until then
-    time_ms shun_for{0};      // length of the last exclusion
+    time_ms shunned_until{0};  // no new runs until then
+    time_ms shun_for{0};       // length of the last exclusion
     bool on_probation = false; // one run at a time until one succeeds
 };
 
@@ -77,23 +77,23 @@
     bool reported = false;  // announced itself to this leader
     bool contacted = false; // answered a hold of this leader
     bool draining = false;
-    bool reserved = false;      // its machine is about to move or to go down
-    bool upkeep_due = false;    // its machine will go down in a wave
-    bool leaving = false;       // it said good-bye, or its machine was ordered away
+    bool reserved = false;   // its machine is about to move or to go down
+    bool upkeep_due = false; // its machine will go down in a wave
+    bool leaving = false;    // it said good-bye, or its machine was ordered away
     time_ms leaving_since{0};
     time_ms reported_at{0};
 
-    time_ms clock{0};         // the worker's clock, last seen
-    time_ms clock_seen_at{0}; // our clock then
-    time_ms lease_until{0};   // latest lease granted, on the worker's clock
+    time_ms clock{0};               // the worker's clock, last seen
+    time_ms clock_seen_at{0};       // our clock then
+    time_ms lease_until{0};         // latest lease granted, on the worker's clock
     time_ms inherited_lease_end{0}; // end of leases of earlier leaders, on our clock
 
     bool hold_under_way = false;
     bool hold_unanswered = false; // the last one: leases must not be extended blindly
     time_ms next_hold_at{0};
-    int refused_holds = 0; // connections in a row that were refused
-    std::uint64_t last_seen = 0;    // ends up to this number are in the log
-    std::uint64_t last_logged = 0;  // ends up to this number were proposed to the log
+    int refused_holds = 0;         // connections in a row that were refused
+    std::uint64_t last_seen = 0;   // ends up to this number are in the log
+    std::uint64_t last_logged = 0; // ends up to this number were proposed to the log
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -61,7 +61,8 @@
     return out;
 }
 
-fake_fleet::fake_fleet(fleet_options options) : options_(std::move(options)), random_(options_.seed) {
+fake_fleet::fake_fleet(fleet_options options)
+    : options_(std::move(options)), random_(options_.seed) {
     command first;
     first.operations.emplace_back(put_configuration{fake_configuration()});
     table_.apply(first, term_);
@@ -142,7 +143,8 @@
     std::set<task_id> at_work;
     for (const auto& [id, item] : workers_) {
         for (const auto& run : item.runs) {
-            if (run.lasting && !item.dark && run.stop_at == 0 && now_ - run.started >= start_up_time)
+            if (run.lasting && !item.dark && run.stop_at == 0 &&
+                now_ - run.started >= start_up_time)
                 at_work.insert(run.task);
         }
     }
@@ -233,14 +235,15 @@
                 at(now_ + 2 * one_way, [this, term = term_] {
                     std::vector<machine_report> out;
                     for (const auto& [name, machine] : machines_)
-                        out.push_back({name, machine.pool, machine.state,
-                                       {"kind", machine.rack}, {16'000, 32'000, 0},
+                        out.push_back({name,
+                                       machine.pool,
+                                       machine.state,
+                                       {"kind", machine.rack},
+                                       {16'000, 32'000, 0},
                                        machine.state == machine_state::up ? machine.worker : ""});
                     if (term == term_)
-                        controller_->observe(out,
-                                             lists_fail ? order_answer::no_answer
-                                                        : order_answer::done,
-                                             now_);
+                        controller_->observe(
+                            out, lists_fail ? order_answer::no_answer : order_answer::done, now_);
                 });
             else if constexpr (std::is_same_v<type, move_order> ||
                                std::is_same_v<type, upkeep_order>)
@@ -266,9 +269,8 @@
                 answer = fits_fence(on, value.fence) ? order_answer::done : order_answer::fenced;
                 if (answer == order_answer::done) {
                     if (value.until)
-                        on.lease_until =
-                            std::max(on.lease_until, std::min(*value.until, on.clock(now_) +
-                                                                                longest_lease));
+                        on.lease_until = std::max(
+                            on.lease_until, std::min(*value.until, on.clock(now_) + longest_lease));
                     std::erase_if(on.ended, [&](const ended_task& item) {
                         return item.number <= value.last_seen;
                     });
@@ -329,8 +331,7 @@
                 violation(name_of(value.task) + " runs twice, on " + id + " and " + on.ref.id);
         }
     }
-    if (const auto* item = table_.find_task(value.task);
-        item && item->phase == task_phase::done)
+    if (const auto* item = table_.find_task(value.task); item && item->phase == task_phase::done)
         violation(name_of(value.task) + " starts after its end");
     resources used;
     for (const auto& run : on.runs)
@@ -413,8 +414,8 @@
                 ++away;
         }
         if (away >= spec.may_miss)
-            violation(name_of(run.task) + " is ended by " + by + " while " +
-                      std::to_string(away) + " others are away");
+            violation(name_of(run.task) + " is ended by " + by + " while " + std::to_string(away) +
+                      " others are away");
     }
 }
 
@@ -453,9 +454,8 @@
     if (item.state == machine_state::up) {
         answer = order_answer::done;
         ++upkeeps_;
-        const auto down = std::ranges::count_if(machines_, [](const auto& one) {
-            return one.second.state == machine_state::upkeep;
-        });
+        const auto down = std::ranges::count_if(
+            machines_, [](const auto& one) { return one.second.state == machine_state::upkeep; });
         const auto wave = table_.waves().find(value.wave);
         if (wave != table_.waves().end() && down >= wave->second.order.cap)
             violation("too many machines down in a wave");
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -33,7 +33,7 @@
     std::string address;
     std::string rack;
     resources capacity{16'000, 32'000, 0};
-    bool dark = false;     // answers nothing, but runs on
+    bool dark = false; // answers nothing, but runs on
     bool draining = false;
     bool fails_all = false;
     bool stalls_all = false;
@@ -67,8 +67,8 @@
     std::string standby = "spare";
     int standby_machines = 2;
     bool machine_orders = true; // false: fixed pools
-    double late_orders = 0;  // share of orders without an answer, carried out 2 to 12 s later
-    double commit_loss = 0;  // share of a crashed leader's commands that were not committed
+    double late_orders = 0;     // share of orders without an answer, carried out 2 to 12 s later
+    double commit_loss = 0;     // share of a crashed leader's commands that were not committed
 };
 
 class fake_fleet {
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -41,9 +41,9 @@
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_clean(const fake_fleet& fleet) {
-        CPPUNIT_ASSERT_EQUAL_MESSAGE(
-            fleet.violations().empty() ? std::string() : fleet.violations().front(), std::size_t{0},
-            fleet.violations().size());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.violations().empty() ? std::string()
+                                                                : fleet.violations().front(),
+                                     std::size_t{0}, fleet.violations().size());
     }
 
   public:
@@ -229,11 +229,10 @@
                     fleet.cancel(id_of(static_cast<int>(random.below(60))));
             }
             fleet.run_for(20'000);
-            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed) + ": " +
-                                             (fleet.violations().empty()
-                                                  ? std::string()
-                                                  : fleet.violations().front()),
-                                         std::size_t{0}, fleet.violations().size());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed) + ": " +
+                    (fleet.violations().empty() ? std::string() : fleet.violations().front()),
+                std::size_t{0}, fleet.violations().size());
         }
     }
 };
