--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -4,14 +4,19 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 
 #include <array>
 #include <atomic>
 #include <cstdio>
-#include <iostream>
+#include <map>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace clementine {
 
@@ -33,16 +38,91 @@
     return value;
 }
 
+// Longest line. A pipe that is ready for writing takes at least this much without blocking.
+constexpr std::size_t max_line_bytes = 4'000;
+// Lines of one event in a second; further ones are counted and left out.
+constexpr unsigned max_lines_per_second = 300;
+constexpr time_ms rate_window{1'000};
+
+std::atomic<std::uint64_t> dropped_lines{0};
+
+// Writes lines to a file descriptor and never waits for its reader.
+class line_sink : public boost::log::sinks::basic_formatted_sink_backend<
+                      char, boost::log::sinks::synchronized_feeding> {
+  public:
+    explicit line_sink(int file) : file_(file) {}
+
+    void consume(const boost::log::record_view&, const std::string& line) {
+        write_line_unless_blocked(file_, line);
+    }
+
+  private:
+    int file_;
+};
+
+// Bounds the lines of each event.
+class event_rates {
+  public:
+    // True if a line may be written; `omitted` lines of this event were left out before it.
+    bool allow(std::string_view event, time_ms now, std::uint64_t& omitted) {
+        std::lock_guard lock(mutex_);
+        auto& item = events_[std::string(event)];
+        if (now - item.since >= rate_window || now < item.since) {
+            item.since = now;
+            item.lines = 0;
+        }
+        if (item.lines >= max_lines_per_second) {
+            ++item.omitted;
+            return false;
+        }
+        ++item.lines;
+        omitted = std::exchange(item.omitted, 0);
+        return true;
+    }
+
+  private:
+    struct rate {
+        time_ms since{0};
+        unsigned lines = 0;
+        std::uint64_t omitted = 0;
+    };
+
+    std::mutex mutex_;
+    std::map<std::string, rate> events_;
+};
+
+event_rates& rates() {
+    static event_rates value;
+    return value;
+}
+
 } // namespace
 
+bool write_line_unless_blocked(int file, std::string line) {
+    if (line.size() >= max_line_bytes)
+        line.resize(max_line_bytes - 1);
+    line += '\n';
+    pollfd ready{file, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) == 1 && (ready.revents & POLLOUT) != 0 &&
+        ::write(file, line.data(), line.size()) >= 0)
+        return true;
+    ++dropped_lines;
+    return false;
+}
+
+std::uint64_t dropped_log_lines() {
+    return dropped_lines;
+}
+
 void init_logging(log_level minimum, std::string_view node) {
     namespace log = boost::log;
     identity().node = log_value(node);
     minimum_level = minimum;
     log::core::get()->remove_all_sinks();
-    log::add_console_log(
-        std::clog, log::keywords::format = log::expressions::stream << log::expressions::smessage,
-        log::keywords::auto_flush = true);
+    using sink = log::sinks::synchronous_sink<line_sink>;
+    const auto out = boost::make_shared<sink>(boost::make_shared<line_sink>(STDOUT_FILENO));
+    out->set_formatter(log::expressions::stream << log::expressions::smessage);
+    log::core::get()->add_sink(out);
 }
 
 void set_log_level(log_level minimum) {
@@ -50,7 +130,8 @@
 }
 
 log_event::log_event(log_level level, std::string_view event) : level_(level) {
-    if (level_ < minimum_level)
+    std::uint64_t omitted = 0;
+    if (level_ < minimum_level || !rates().allow(event, wall_clock_ms(), omitted))
         return;
     line_ = "time=" + std::to_string(wall_clock_ms());
     line_ += " level=";
@@ -59,6 +140,10 @@
         line_ += " node=" + identity().node;
     line_ += " event=";
     line_ += event;
+    if (omitted > 0)
+        line_ += " omitted=" + std::to_string(omitted);
+    if (const auto dropped = dropped_lines.load(); dropped > 0)
+        line_ += " dropped=" + std::to_string(dropped);
 }
 
 log_event::~log_event() {
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -16,9 +16,16 @@
     return log_level_names;
 }
 
-// Sends logs to stderr through Boost.Log, with time, level and node on each line.
+// Sends logs to standard output through Boost.Log, with time, level and node on each line. A reader
+// that does not keep up never delays the process: lines are dropped and counted. Each event writes
+// at most 300 lines a second; `omitted` on its next line tells how many were left out.
 void init_logging(log_level minimum, std::string_view node);
 
+// Writes a line if that does not block; false, and counted, otherwise.
+bool write_line_unless_blocked(int file, std::string line);
+// Lines that were lost because their reader did not keep up.
+std::uint64_t dropped_log_lines();
+
 // Changes the lowest level that is written.
 void set_log_level(log_level minimum);
 
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -20,8 +20,11 @@
 namespace {
 
 constexpr time_ms tick_interval{25};
-// Decisions wait this long for further observations, so that one log entry carries several.
+// Decisions wait this long for further observations, so that one log entry carries several. With
+// many workers each round costs more, and a longer wait saves entries and syncs.
 constexpr time_ms round_delay{3};
+constexpr time_ms round_delay_many{10};
+constexpr std::size_t many_workers = 100;
 constexpr time_ms directory_interval{150};
 constexpr time_ms join_interval{200};
 // Answers from workers and the platform come within some ms; orders are repeated after this time.
@@ -562,7 +565,8 @@
 void job_control::request_round() {
     if (std::exchange(round_due_, true))
         return;
-    round_timer_.expires_after(std::chrono::milliseconds(round_delay));
+    const auto delay = controller_.workers().size() < many_workers ? round_delay : round_delay_many;
+    round_timer_.expires_after(std::chrono::milliseconds(delay));
     round_timer_.async_wait([this](boost::system::error_code error) {
         round_due_ = false;
         if (!error && !stopped_)
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -18,6 +18,11 @@
 // Workers with lasting tasks are asked more often, to see their response times.
 constexpr time_ms serving_hold_wait{500};
 constexpr time_ms hold_retry{150};
+// Pause after an answer with ends, so that one answer carries several where there are many workers.
+constexpr time_ms hold_pause_many{40};
+constexpr std::size_t many_workers = 100;
+// Runs are checked for what goes on without news this often.
+constexpr time_ms review_interval{40};
 // Ends that one answer can carry; the list may go on behind them.
 constexpr std::size_t ends_per_answer = 500;
 // A run without progress for this long, over several lists, stands still.
@@ -246,7 +251,8 @@
     if (!from || order.fence != fence_)
         return;
     from->hold_under_way = false;
-    from->next_hold_at = received_at;
+    from->next_hold_at =
+        received_at + (lists.ended.empty() || workers_.size() < many_workers ? 0 : hold_pause_many);
     if (answer == order_answer::done) {
         if (from->hold_unanswered)
             log_event(log_level::info, "worker_answers").field("worker", from->ref.id);
@@ -895,9 +901,12 @@
     out_.log.insert(out_.log.begin(), retry_.log.begin(), retry_.log.end());
     out_.ends.insert(out_.ends.begin(), retry_.ends.begin(), retry_.ends.end());
     retry_ = {};
-    retire_lives(now);
-    for (auto& [id, item] : workers_)
-        review_runs(item, now);
+    if (now - reviewed_at_ >= review_interval) {
+        reviewed_at_ = now;
+        retire_lives(now);
+        for (auto& [id, item] : workers_)
+            review_runs(item, now);
+    }
     if (now - machines_planned_at_ >= machine_plan_interval) {
         machines_planned_at_ = now;
         machines_.decide(workers_, measure_demand(now), now, wall, out_.log, out_.orders);
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -147,6 +147,7 @@
     offered_load load_seen_;
     machine_manager machines_;
     time_ms machines_planned_at_{0};
+    time_ms reviewed_at_{0};
     decisions out_;
     decisions retry_; // operations that the log did not take
 };
--- /dev/null
+++ b/tests/jobs/cluster_test.cpp
@@ -0,0 +1,257 @@
+// Three control nodes, an entry node and two workers on loopback, from founding to a change of the
+// leader, a lost disk and a graceful stop. Guards the path of a job across the processes' parts.
+#include "base/ini.h"
+#include "consensus/posix_files.h"
+#include "control/job_control.h"
+#include "control/job_entry.h"
+#include "jobs/standin_worker.h"
+#include "platform/protocol.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <filesystem>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::control;
+
+// Ports on loopback addresses of this test's own; each node has an address.
+constexpr unsigned short links_port = 47'310;
+constexpr unsigned short control_port = 47'311;
+constexpr unsigned short admin_port = 47'312;
+constexpr unsigned short callers_port = 47'313;
+constexpr unsigned short ready_port = 47'314;
+constexpr time_ms patience{15'000};
+
+std::string address(int node, unsigned short port) {
+    return "127.47.0." + std::to_string(node) + ":" + std::to_string(port);
+}
+
+class cluster_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(cluster_test);
+    CPPUNIT_TEST(whole_path);
+    CPPUNIT_TEST(entry_without_links_is_not_ready);
+    CPPUNIT_TEST_SUITE_END();
+
+    boost::asio::io_context loop_{1};
+    steady_clock clock_;
+    consensus::posix_file_system files_;
+    users_platform::protocol protocol_;
+    std::map<int, std::unique_ptr<job_control>> nodes_;
+    std::vector<std::unique_ptr<job_control>> retired_;
+
+    static std::string folder(int node) {
+        return std::string(TEST_DATA_FOLDER) + "/" + std::to_string(node);
+    }
+
+    void start_node(int node, bool first_start) {
+        job_control_settings settings;
+        settings.node = "n" + std::to_string(node);
+        settings.links = address(node, links_port);
+        settings.listen = address(node, control_port);
+        settings.admin = address(node, admin_port);
+        settings.folder = folder(node);
+        settings.seeds = {address(1, links_port), address(2, links_port), address(3, links_port)};
+        settings.first_start = first_start;
+        nodes_[node] =
+            std::make_unique<job_control>(loop_, settings, protocol_, files_, clock_,
+                                          [](const std::string& reason) { CPPUNIT_FAIL(reason); });
+        CPPUNIT_ASSERT_EQUAL(std::string(), nodes_[node]->start());
+    }
+
+    void stop_node(int node) {
+        bool stopped = false;
+        nodes_[node]->stop_gracefully([&] { stopped = true; });
+        CPPUNIT_ASSERT(wait_for([&] { return stopped; }));
+        // Callbacks of its links may still come.
+        retired_.push_back(std::move(nodes_.at(node)));
+        nodes_.erase(node);
+    }
+
+    template <class Condition>
+    bool wait_for(Condition condition) {
+        const auto end = clock_.now() + patience;
+        while (clock_.now() < end) {
+            if (condition())
+                return true;
+            loop_.run_for(std::chrono::milliseconds(10));
+        }
+        return condition();
+    }
+
+    void run_for(time_ms span) {
+        const auto end = clock_.now() + span;
+        wait_for([&] { return clock_.now() >= end; });
+    }
+
+    http_result call(const std::string& to, http_call value) {
+        const auto parsed = parse_endpoint(to);
+        auto pool = std::make_shared<http_pool>(
+            loop_, clock_,
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(parsed->address),
+                                           parsed->port),
+            1);
+        std::optional<http_result> out;
+        pool->request(std::move(value), 3'000, [&](const http_result& result) { out = result; });
+        CPPUNIT_ASSERT(wait_for([&] { return out.has_value(); }));
+        pool->stop();
+        return *out;
+    }
+
+    unsigned configure(int node, const std::string& body) {
+        return call(address(node, control_port), {"PUT", "/clementineroad/config", {}, body})
+            .status;
+    }
+
+    // Repeats a call until it has a status, as a caller or operator would.
+    http_result call_until(const std::string& to, const http_call& value, unsigned status) {
+        http_result result;
+        CPPUNIT_ASSERT_MESSAGE(value.method + " " + value.target, wait_for([&] {
+                                   result = call(to, value);
+                                   return !result.failure && result.status == status;
+                               }));
+        return result;
+    }
+
+    static std::string configuration(int version) {
+        return R"({"Version":)" + std::to_string(version) +
+               R"(,"Routes":[{"Name":"r1","Host":"h","PathPrefix":"/q/","TimeoutMs":3000,)"
+               R"("TargetLatencyMs":5000,"Service":"s1","Attempts":2,"Stretch":2.0}],)"
+               R"("Services":[{"Name":"s1"}]})";
+    }
+
+    static http_call request(const std::string& method, const std::string& id,
+                             const std::string& body = {}) {
+        return {method, "/q/" + id, {{"Host", "h"}}, body};
+    }
+
+  public:
+    void setUp() override { std::filesystem::remove_all(TEST_DATA_FOLDER); }
+
+    void whole_path() {
+        for (int node = 1; node <= 3; ++node) {
+            std::filesystem::create_directories(folder(node));
+            start_node(node, true);
+        }
+        job_entry_settings settings;
+        settings.node = "e1";
+        settings.links = address(9, links_port);
+        settings.listen = address(9, callers_port);
+        settings.ready = address(9, ready_port);
+        settings.ready_path = "/ready";
+        settings.admin = address(9, admin_port);
+        settings.deadline_header = "Request-Deadline";
+        settings.seeds = {address(1, links_port), address(2, links_port)};
+        settings.drain_time = 200;
+        job_entry entry(loop_, settings, clock_);
+        CPPUNIT_ASSERT_EQUAL(std::string(), entry.start());
+        const auto front = address(9, callers_port);
+
+        // Highest version wins at every node; what is invalid is refused.
+        CPPUNIT_ASSERT(wait_for([&] { return configure(1, configuration(5)) == 200; }));
+        CPPUNIT_ASSERT_EQUAL(200U, configure(2, configuration(4)));
+        CPPUNIT_ASSERT_EQUAL(400U, configure(3, "{\"Version\":9"));
+        CPPUNIT_ASSERT_EQUAL(
+            configuration(5),
+            call(address(3, control_port), {"GET", "/clementineroad/config", {}, {}}).body);
+        call_until(address(9, ready_port), {"GET", "/ready", {}, {}}, 200);
+
+        std::vector<std::unique_ptr<standin_worker>> workers;
+        for (int i = 0; i < 2; ++i) {
+            workers.push_back(std::make_unique<standin_worker>(
+                loop_, clock_,
+                standin_worker_options{"i-" + std::to_string(i),
+                                       "s1",
+                                       "127.47.1." + std::to_string(i + 1),
+                                       {address(1, control_port), address(2, control_port),
+                                        address(3, control_port)}}));
+            CPPUNIT_ASSERT_EQUAL(std::string(), workers.back()->start());
+        }
+        run_for(1'000);
+
+        const std::string quick =
+            R"({"Spec":"50","Steps":[{"Count":3,"Cpu":500,"MemMb":64,"EstimateMs":50},)"
+            R"({"Count":2,"Cpu":500,"MemMb":64,"EstimateMs":50,"DependsOn":[0]}]})";
+        const std::string slow =
+            R"({"Spec":"4000","Steps":[{"Count":2,"Cpu":500,"MemMb":64,"EstimateMs":4000}]})";
+        call_until(front, request("POST", "00000000000000a1", quick), 200);
+        call_until(front, request("POST", "00000000000000a2", slow), 200);
+        CPPUNIT_ASSERT_EQUAL(404U, call(front, {"POST", "/none/1", {{"Host", "h"}}, quick}).status);
+        CPPUNIT_ASSERT_EQUAL(400U, call(front, request("POST", "xyz", quick)).status);
+        CPPUNIT_ASSERT_EQUAL(410U, call(front, request("GET", "00000000000000ff")).status);
+        const std::string completed = R"({"State":"completed"})";
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return call(front, request("GET", "00000000000000a1")).body == completed; }));
+
+        // A resend after the answer stays one job; the slow one outlives its leader.
+        CPPUNIT_ASSERT_EQUAL(200U, call(front, request("POST", "00000000000000a1", quick)).status);
+        stop_node(1);
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return call(front, request("GET", "00000000000000a2")).body == completed; }));
+        for (const auto& worker : workers) {
+            for (const auto& [task, count] : worker->starts())
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(task, 1, count);
+        }
+
+        // The stopped node comes back without its disk, under a new identity, and becomes a voter:
+        // the cluster then stands without another node.
+        std::filesystem::remove_all(folder(1));
+        std::filesystem::create_directories(folder(1));
+        start_node(1, false);
+        run_for(3'000);
+        stop_node(2);
+        call_until(front, request("POST", "00000000000000a3", quick), 200);
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return call(front, request("GET", "00000000000000a3")).body == completed; }));
+        CPPUNIT_ASSERT_EQUAL(
+            configuration(5),
+            call_until(address(1, control_port), {"GET", "/clementineroad/config", {}, {}}, 200)
+                .body);
+
+        call_until(front, request("POST", "00000000000000a4", slow), 200);
+        call_until(front, request("DELETE", "00000000000000a4"), 200);
+        CPPUNIT_ASSERT(
+            wait_for([&] { return workers[0]->running() + workers[1]->running() == 0; }));
+
+        bool stopped = false;
+        entry.stop_gracefully([&] { stopped = true; });
+        CPPUNIT_ASSERT_EQUAL(503U, call(address(9, ready_port), {"GET", "/ready", {}, {}}).status);
+        CPPUNIT_ASSERT(wait_for([&] { return stopped; }));
+        for (const auto& worker : workers)
+            worker->stop();
+        for (auto& [number, node] : nodes_)
+            node->stop();
+        run_for(200);
+    }
+
+    // An entry node that was cut off stayed in rotation and failed its callers for seconds.
+    void entry_without_links_is_not_ready() {
+        job_entry_settings settings;
+        settings.node = "e2";
+        settings.links = address(8, links_port);
+        settings.listen = address(8, callers_port);
+        settings.ready = address(8, ready_port);
+        settings.ready_path = "/ready";
+        settings.admin = address(8, admin_port);
+        settings.deadline_header = "Request-Deadline";
+        settings.seeds = {address(7, links_port)};
+        job_entry entry(loop_, settings, clock_);
+        CPPUNIT_ASSERT_EQUAL(std::string(), entry.start());
+        CPPUNIT_ASSERT_EQUAL(503U, call(address(8, ready_port), {"GET", "/ready", {}, {}}).status);
+        // Nothing was sent anywhere, so the refusal is certain and quick.
+        const auto before = clock_.now();
+        CPPUNIT_ASSERT_EQUAL(
+            503U, call(address(8, callers_port), request("POST", "00000000000000a1", "{}")).status);
+        CPPUNIT_ASSERT(clock_.now() - before < 1'500);
+        bool stopped = false;
+        entry.stop_gracefully([&] { stopped = true; });
+        CPPUNIT_ASSERT(wait_for([&] { return stopped; }));
+        run_for(200);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cluster_test);
+
+} // namespace
--- /dev/null
+++ b/tests/jobs/standin_worker.cpp
@@ -0,0 +1,206 @@
+#include "jobs/standin_worker.h"
+
+#include "base/ini.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+
+namespace clementine {
+
+namespace json = boost::json;
+namespace http = boost::beast::http;
+using namespace clementine::control;
+
+namespace {
+
+constexpr time_ms tick_interval{10};
+constexpr time_ms announce_interval{300};
+constexpr int whole_percent = 100;
+constexpr unsigned status_conflict = 409;
+constexpr unsigned status_ok = 200;
+
+http_response json_response(unsigned status, const json::object& body) {
+    return make_response(static_cast<http::status>(status), json::serialize(body),
+                         "application/json");
+}
+
+std::int64_t number_at(const json::object& in, const char* name) {
+    const auto* value = in.if_contains(name);
+    return value && value->is_number() ? value->to_number<std::int64_t>() : 0;
+}
+
+} // namespace
+
+standin_worker::standin_worker(boost::asio::io_context& loop, const clock_source& clock,
+                               standin_worker_options options)
+    : loop_(loop), clock_(clock), options_(std::move(options)), timer_(loop),
+      born_(wall_clock_ms()) {
+    for (const auto& address : options_.controls) {
+        const auto parsed = parse_endpoint(address).value_or(endpoint_text{"127.0.0.1", 1});
+        controls_.push_back(std::make_shared<http_pool>(
+            loop_, clock_,
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(parsed.address),
+                                           parsed.port),
+            1));
+    }
+}
+
+std::string standin_worker::start() {
+    server_ = std::make_shared<http_server>(
+        loop_, http_limits{}, [this](const http_request& request, const http_respond& respond) {
+            handle(request, respond);
+        });
+    const auto problem = server_->listen({boost::asio::ip::make_address(options_.ip), 0});
+    if (problem.empty())
+        tick();
+    return problem;
+}
+
+void standin_worker::stop() {
+    stopped_ = true;
+    timer_.cancel();
+    server_->stop();
+    for (const auto& item : controls_)
+        item->stop();
+    holds_.clear();
+}
+
+void standin_worker::announce() {
+    announced_at_ = now();
+    const json::object body{{"Service", options_.pool},
+                            {"Address", options_.ip + ":" + std::to_string(server_->port())},
+                            {"Zone", "z"},
+                            {"State", "ready"},
+                            {"Capacity", json::object{{"Cpu", 4000}, {"MemMb", 4096}, {"Gpu", 0}}},
+                            {"Labels", json::array{"a", "r1"}},
+                            {"ClockMs", now()},
+                            {"Sequence", ++sequence_},
+                            {"born", born_}};
+    auto& control = *controls_[next_control_ % controls_.size()];
+    control.request({"PUT", "/clementineroad/instances/" + options_.id, {}, json::serialize(body)},
+                    announce_interval, [this](const http_result& result) {
+                        if (result.failure || result.status != status_ok)
+                            ++next_control_;
+                    });
+}
+
+void standin_worker::tick() {
+    if (stopped_)
+        return;
+    if (now() - announced_at_ >= announce_interval)
+        announce();
+    std::vector<std::pair<std::string, const char*>> over;
+    for (const auto& [task, item] : runs_) {
+        if (now() > lease_until_)
+            over.emplace_back(task, "lapsed");
+        else if (now() - item.started >= item.work)
+            over.emplace_back(task, item.fails ? "failed" : "done");
+    }
+    for (const auto& [task, how] : over)
+        end(task, how);
+    for (std::size_t i = 0; i < holds_.size();) {
+        const bool news = !ended_.empty() && ended_.back().number > holds_[i].last_seen;
+        if (!news && now() < holds_[i].until) {
+            ++i;
+            continue;
+        }
+        answer_hold(holds_[i]);
+        holds_.erase(holds_.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    timer_.expires_after(std::chrono::milliseconds(tick_interval));
+    timer_.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            tick();
+    });
+}
+
+void standin_worker::end(const std::string& task, const char* how) {
+    const auto at = runs_.find(task);
+    if (at == runs_.end())
+        return;
+    ended_.push_back({++last_end_, task, at->second.number, how});
+    barred_[task] = std::max(barred_[task], at->second.number);
+    runs_.erase(at);
+}
+
+void standin_worker::handle(const http_request& request, const http_respond& respond) {
+    boost::system::error_code error;
+    const auto document = json::parse(request.body(), error);
+    if (error || !document.is_object())
+        return respond(json_response(400, {}));
+    const auto& body = document.as_object();
+    json::object reply{{"ClockMs", now()}};
+    const auto fence = number_at(body, "Fence");
+    if (fence < fence_) {
+        reply["Reason"] = "fence";
+        return respond(json_response(status_conflict, reply));
+    }
+    fence_ = fence;
+    if (request.target() == "/clementineroad/hold")
+        return hold(body, respond);
+    unsigned status = status_ok;
+    if (request.target() == "/clementineroad/run-start")
+        status = start_run(body, reply);
+    else if (request.target() == "/clementineroad/run-stop")
+        stop_run(body);
+    respond(json_response(status, reply));
+}
+
+unsigned standin_worker::start_run(const json::object& body, json::object& reply) {
+    const std::string task(body.at("Task").as_string());
+    const auto number = number_at(body, "Run");
+    const auto until = number_at(body, "UntilMs");
+    const auto known = runs_.find(task);
+    if (known != runs_.end() && known->second.number == number)
+        return status_ok;
+    if (number <= barred_[task]) {
+        reply["Reason"] = "old";
+        return status_conflict;
+    }
+    if (until <= now()) {
+        reply["Reason"] = "late";
+        return status_conflict;
+    }
+    lease_until_ = std::max<time_ms>(lease_until_, until);
+    const std::string payload(body.at("Spec").as_string());
+    runs_[task] = {number, now(), std::atol(payload.c_str()), payload == "fails"};
+    ++starts_[task];
+    return status_ok;
+}
+
+void standin_worker::stop_run(const json::object& body) {
+    const std::string task(body.at("Task").as_string());
+    const auto number = number_at(body, "Run");
+    barred_[task] = std::max(barred_[task], number);
+    const auto known = runs_.find(task);
+    if (known != runs_.end() && known->second.number <= number)
+        end(task, "stopped");
+}
+
+void standin_worker::hold(const json::object& body, const http_respond& respond) {
+    const auto last_seen = number_at(body, "LastSeen");
+    lease_until_ = std::max<time_ms>(lease_until_, number_at(body, "UntilMs"));
+    std::erase_if(ended_, [&](const ended& item) { return item.number <= last_seen; });
+    holds_.push_back({last_seen, now() + number_at(body, "WaitMs"), respond});
+}
+
+void standin_worker::answer_hold(const waiting_hold& item) {
+    json::array running;
+    for (const auto& [task, one] : runs_) {
+        const auto share = one.work == 0 ? 1.0
+                                         : static_cast<double>(now() - one.started) /
+                                               static_cast<double>(one.work);
+        running.push_back(json::array{task, one.number, "",
+                                      static_cast<int>(whole_percent * std::min(1.0, share))});
+    }
+    json::array done;
+    for (const auto& one : ended_)
+        done.push_back(json::array{one.number, one.task, one.run, one.how, ""});
+    item.respond(json_response(
+        status_ok, {{"ClockMs", now()}, {"Running", running}, {"Ended", done}, {"born", born_}}));
+}
+
+} // namespace clementine
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -1,6 +1,7 @@
 #include "workload/fake_fleet.h"
 
 #include <algorithm>
+#include <chrono>
 
 namespace clementine::workload {
 
@@ -101,7 +102,7 @@
     item.pool = on.pool;
     item.rack = on.rack;
     item.address = "10.0.0." + std::to_string(next_port_++) + ":80";
-    item.born_at = now_ - 50;
+    item.born_at = now_;
     item.clock_rate = 1.0 - 0.02 * random_.unit();
     on.worker = item.ref.id;
     on.state = machine_state::up;
@@ -137,7 +138,9 @@
     }
     for (auto& [id, item] : workers_) {
         advance_runs(item);
-        if (!item.dark && (now_ - item.born_at) % announce_interval < step_time)
+        // The first announcement comes at once.
+        const auto age = now_ - item.born_at;
+        if (!item.dark && (age < 2 * step_time || age % announce_interval < step_time))
             announce(item);
     }
     std::set<task_id> at_work;
@@ -206,7 +209,12 @@
 }
 
 void fake_fleet::act() {
+    const auto started = std::chrono::steady_clock::now();
     auto made = controller_->decide(now_, now_);
+    rounds_us_ +=
+        std::chrono::duration<double, std::micro>(std::chrono::steady_clock::now() - started)
+            .count();
+    ++rounds_;
     auto orders = std::move(made.orders);
     made.orders.clear();
     if (!made.log.empty() || !made.ends.empty())
@@ -215,6 +223,10 @@
         deliver(std::move(value));
 }
 
+double fake_fleet::mean_round_us() const {
+    return rounds_ == 0 ? 0 : rounds_us_ / static_cast<double>(rounds_);
+}
+
 void fake_fleet::commit(decisions made) {
     at(now_ + commit_time, [this, made = std::move(made), term = term_] {
         if (term != term_ && random_.chance(options_.commit_loss))
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -93,6 +93,8 @@
     const std::vector<std::string>& violations() const { return violations_; }
     int moves() const { return moves_; }
     int upkeeps() const { return upkeeps_; }
+    // Real time of a decision, for benchmarks.
+    double mean_round_us() const;
     bool idle_leader = false; // no leader acts
     bool lists_fail = false;  // the platform does not list its machines
 
@@ -142,6 +144,8 @@
     int next_port_ = 1;
     int moves_ = 0;
     int upkeeps_ = 0;
+    std::int64_t rounds_ = 0;
+    double rounds_us_ = 0;
     std::uint64_t machine_fence_ = 0;
 };
 
--- /dev/null
+++ b/tests/workload/job_table_test.cpp
@@ -0,0 +1,193 @@
+// Guards the replicated state of jobs: one job for an id, each task done once, nothing lost by
+// saving and loading.
+#include "workload/job_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::workload;
+
+class job_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(job_table_test);
+    CPPUNIT_TEST(highest_configuration_wins);
+    CPPUNIT_TEST(one_job_for_an_id);
+    CPPUNIT_TEST(starts_only_in_turn);
+    CPPUNIT_TEST(no_start_after_cancel);
+    CPPUNIT_TEST(fails_after_its_attempts);
+    CPPUNIT_TEST(one_end_of_a_gang_stands_for_all);
+    CPPUNIT_TEST(late_end_of_a_lost_run_counts_unless_a_newer_one_started);
+    CPPUNIT_TEST(lasting_tasks_wait_again_however_they_end);
+    CPPUNIT_TEST(saves_and_loads_everything);
+    CPPUNIT_TEST(rejects_unreadable_bytes);
+    CPPUNIT_TEST_SUITE_END();
+
+    job_table table_;
+    const worker_ref worker_{"w1", 5};
+
+    bool apply(operation op, time_ms at = 1'000) {
+        return table_.apply({at, {std::move(op)}}, 3)[0];
+    }
+
+    submit_job two_steps() const {
+        submit_job out{"j1", "q", "p", 2, {}};
+        step_spec step;
+        step.count = 2;
+        step.need = {1'000, 100, 0};
+        out.spec.steps = {step, step};
+        out.spec.steps[1].depends_on = {0};
+        return out;
+    }
+    bool start(std::uint32_t step, std::uint32_t index, std::uint32_t run) {
+        return apply(start_run{{"j1", 0, step, index}, run, worker_, "10.0.0.1:80"});
+    }
+    bool end(std::uint32_t step, std::uint32_t index, std::uint32_t run, run_end how) {
+        return apply(end_run{{"j1", 0, step, index}, run, how, "c"});
+    }
+    job_state state() const { return table_.find_job("j1")->state; }
+
+  public:
+    void highest_configuration_wins() {
+        configuration value;
+        value.version = 7;
+        value.document = "seven";
+        CPPUNIT_ASSERT(apply(put_configuration{value}));
+        value.document = "other";
+        CPPUNIT_ASSERT(!apply(put_configuration{value}));
+        value.version = 6;
+        CPPUNIT_ASSERT(!apply(put_configuration{value}));
+        CPPUNIT_ASSERT_EQUAL(std::string("seven"), table_.config().document);
+    }
+
+    void one_job_for_an_id() {
+        CPPUNIT_ASSERT(apply(two_steps()));
+        CPPUNIT_ASSERT(start(0, 0, 1));
+        CPPUNIT_ASSERT(apply(two_steps()));
+        CPPUNIT_ASSERT(job_state::active == state());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.jobs().size());
+    }
+
+    void starts_only_in_turn() {
+        apply(two_steps());
+        CPPUNIT_ASSERT(!start(1, 0, 1));
+        CPPUNIT_ASSERT(start(0, 0, 1));
+        CPPUNIT_ASSERT(!start(0, 0, 2)); // it is assigned
+        CPPUNIT_ASSERT(start(0, 1, 1));
+        CPPUNIT_ASSERT(end(0, 0, 1, run_end::done));
+        CPPUNIT_ASSERT(!start(0, 0, 2)); // it is done
+        CPPUNIT_ASSERT(!start(1, 0, 1));
+        CPPUNIT_ASSERT(end(0, 1, 1, run_end::done));
+        CPPUNIT_ASSERT(start(1, 0, 1));
+        CPPUNIT_ASSERT(start(1, 1, 1));
+        end(1, 0, 1, run_end::done);
+        end(1, 1, 1, run_end::done);
+        CPPUNIT_ASSERT(job_state::completed == state());
+        CPPUNIT_ASSERT(table_.open_jobs().empty());
+    }
+
+    void no_start_after_cancel() {
+        apply(two_steps());
+        start(0, 0, 1);
+        CPPUNIT_ASSERT(apply(cancel_job{"j1"}));
+        CPPUNIT_ASSERT(!start(0, 1, 1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table_.open_jobs().size()); // a run is left
+        end(0, 0, 1, run_end::stopped);
+        CPPUNIT_ASSERT(table_.open_jobs().empty());
+        CPPUNIT_ASSERT(job_state::canceled == state());
+        CPPUNIT_ASSERT(!apply(cancel_job{"unknown"}));
+    }
+
+    void fails_after_its_attempts() {
+        apply(two_steps());
+        start(0, 0, 1);
+        end(0, 0, 1, run_end::lapsed);
+        start(0, 0, 2);
+        end(0, 0, 2, run_end::failed);
+        CPPUNIT_ASSERT(job_state::active == state());
+        start(0, 0, 3);
+        end(0, 0, 3, run_end::failed);
+        CPPUNIT_ASSERT(job_state::failed == state());
+        CPPUNIT_ASSERT(!start(0, 0, 4));
+    }
+
+    void one_end_of_a_gang_stands_for_all() {
+        auto gang = two_steps();
+        gang.spec.steps[0].gang = true;
+        apply(gang);
+        start(0, 0, 1);
+        start(0, 1, 1);
+        end(0, 0, 1, run_end::done);
+        CPPUNIT_ASSERT_EQUAL(2U, table_.find_job("j1")->occurrences[0].steps[0].done);
+        CPPUNIT_ASSERT(!end(0, 1, 1, run_end::done));
+        CPPUNIT_ASSERT_EQUAL(1U, table_.find_job("j1")->occurrences[0].steps_done);
+    }
+
+    void late_end_of_a_lost_run_counts_unless_a_newer_one_started() {
+        apply(two_steps());
+        start(0, 0, 1);
+        apply(lose_run{{"j1", 0, 0, 0}, 1, ""});
+        CPPUNIT_ASSERT(end(0, 0, 1, run_end::done));
+        start(0, 1, 1);
+        apply(lose_run{{"j1", 0, 0, 1}, 1, ""});
+        start(0, 1, 2);
+        CPPUNIT_ASSERT(!end(0, 1, 1, run_end::done));
+        CPPUNIT_ASSERT(task_phase::assigned == table_.find_task({"j1", 0, 0, 1})->phase);
+    }
+
+    void lasting_tasks_wait_again_however_they_end() {
+        auto lasting = two_steps();
+        lasting.spec.steps.resize(1);
+        lasting.spec.steps[0].lasting = true;
+        apply(lasting);
+        std::uint32_t run = 0;
+        for (const auto how : {run_end::failed, run_end::failed, run_end::done, run_end::failed}) {
+            CPPUNIT_ASSERT(start(0, 0, ++run));
+            end(0, 0, run, how);
+        }
+        CPPUNIT_ASSERT(start(0, 0, ++run));
+        CPPUNIT_ASSERT(job_state::active == state());
+    }
+
+    void saves_and_loads_everything() {
+        configuration value;
+        value.version = 7;
+        value.queues.push_back({"q", "h", "/q/", "p", 3'000, 600, 1, 3, 1.6, false});
+        value.pools.push_back({"p", true, false});
+        apply(put_configuration{value});
+        auto item = two_steps();
+        item.spec.steps[0].max_per_worker = 2;
+        item.spec.steps[1].lasting = true;
+        item.spec.payload = std::string("a\0b", 3);
+        apply(item);
+        start(0, 0, 1);
+        end(0, 0, 1, run_end::stopped);
+        start(0, 0, 2);
+        apply(put_wave{{4, {"m1", "m2"}, 20'000, 1}});
+        apply(mark_upkeep{4, "m1", upkeep_phase::done});
+        apply(order_machine{"m1", "n1"});
+        job_table loaded;
+        CPPUNIT_ASSERT(loaded.load(table_.save()));
+        CPPUNIT_ASSERT(loaded.save() == table_.save());
+        CPPUNIT_ASSERT(loaded.find_job("j1")->spec == table_.find_job("j1")->spec);
+        CPPUNIT_ASSERT_EQUAL(std::string("c"), loaded.find_task({"j1", 0, 0, 0})->checkpoint);
+        CPPUNIT_ASSERT_EQUAL(std::string("n1"), loaded.machine_holders().at("m1").node);
+        CPPUNIT_ASSERT_EQUAL(1.6, loaded.config().queues[0].stretch);
+    }
+
+    void rejects_unreadable_bytes() {
+        apply(two_steps());
+        auto bytes = table_.save();
+        CPPUNIT_ASSERT(!job_table().load(bytes.substr(0, bytes.size() - 1)));
+        CPPUNIT_ASSERT(!job_table().load(bytes + "x"));
+        const auto encoded = encode(command{5, {two_steps(), cancel_job{"j1"}}});
+        CPPUNIT_ASSERT(decode_command(encoded).has_value());
+        CPPUNIT_ASSERT(!decode_command(encoded.substr(1)).has_value());
+        CPPUNIT_ASSERT(!decode_command(encoded.substr(0, encoded.size() - 1)).has_value());
+        CPPUNIT_ASSERT(job_table().load(""));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(job_table_test);
+
+} // namespace
--- /dev/null
+++ b/tests/workload/policy_test.cpp
@@ -0,0 +1,166 @@
+// Guards the pure policies: admission, placement and the measure of offered load.
+#include "workload/admission.h"
+#include "workload/controller.h"
+#include "workload/offered_load.h"
+#include "workload/placement.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::workload;
+
+worker usable_worker(const std::string& id, std::int64_t cpu) {
+    worker out;
+    out.ref = {id, 1};
+    out.rack = "r-" + id;
+    out.capacity = {cpu, 32'000, 0};
+    out.reported = out.contacted = true;
+    return out;
+}
+
+class policy_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(policy_test);
+    CPPUNIT_TEST(refuses_what_cannot_be_on_time);
+    CPPUNIT_TEST(arriving_machines_shorten_the_wait);
+    CPPUNIT_TEST(longest_chain_follows_dependencies);
+    CPPUNIT_TEST(short_tasks_fill_the_fullest_worker);
+    CPPUNIT_TEST(lasting_tasks_of_a_step_are_spread);
+    CPPUNIT_TEST(never_beyond_capacity_or_limit);
+    CPPUNIT_TEST(silent_and_draining_workers_get_nothing);
+    CPPUNIT_TEST(offered_load_sees_a_rise_and_counts_retries_once);
+    CPPUNIT_TEST_SUITE_END();
+
+  public:
+    void refuses_what_cannot_be_on_time() {
+        admission_input input;
+        input.chain = 1'000;
+        input.target_latency = 600;
+        input.stretch = 1.6;
+        input.wait = 500;
+        CPPUNIT_ASSERT(admit(input).accepted);
+        input.wait = 5'000;
+        const auto refused = admit(input);
+        CPPUNIT_ASSERT(!refused.accepted);
+        // There is room again when the wait has come down to what the job can bear.
+        CPPUNIT_ASSERT(refused.retry_after > 3'000 && refused.retry_after < 5'000);
+        input.lasting = true;
+        CPPUNIT_ASSERT(admit(input).accepted);
+    }
+
+    void arriving_machines_shorten_the_wait() {
+        pool_load load;
+        load.capacity = 16'000;
+        load.waiting_work = 16'000 * 4'000;
+        CPPUNIT_ASSERT_EQUAL(time_ms{4'000}, expected_wait(load, 1'500));
+        load.arriving = 48'000;
+        CPPUNIT_ASSERT_EQUAL(time_ms{2'125}, expected_wait(load, 1'500));
+        CPPUNIT_ASSERT_EQUAL(time_ms{0}, expected_wait(pool_load{}, 1'500));
+    }
+
+    void longest_chain_follows_dependencies() {
+        job_spec spec;
+        step_spec step;
+        step.count = 3;
+        step.estimate = 1'000;
+        spec.steps = {step, step, step};
+        spec.steps[2].depends_on = {0, 1};
+        CPPUNIT_ASSERT_EQUAL(time_ms{2'000}, longest_chain(spec, 1.0));
+        CPPUNIT_ASSERT_EQUAL(time_ms{3'000}, longest_chain(spec, 1.5));
+    }
+
+    void short_tasks_fill_the_fullest_worker() {
+        auto empty = usable_worker("empty", 16'000);
+        auto half = usable_worker("half", 16'000);
+        half.used.cpu = 8'000;
+        step_spec step;
+        step.count = 1;
+        step.need = {2'000, 100, 0};
+        placement_request request;
+        request.step = &step;
+        CPPUNIT_ASSERT(choose_worker({&empty, &half}, request, 0) == &half);
+        request.avoid = "half"; // the task failed there
+        CPPUNIT_ASSERT(choose_worker({&empty, &half}, request, 0) == &empty);
+    }
+
+    void lasting_tasks_of_a_step_are_spread() {
+        auto first = usable_worker("first", 16'000);
+        auto second = usable_worker("second", 16'000);
+        auto third = usable_worker("third", 16'000);
+        step_spec step;
+        step.count = 4;
+        step.lasting = true;
+        step.need = {1'000, 100, 0};
+        placement_request request;
+        request.step = &step;
+        request.job = "j";
+        live_run other;
+        other.task = {"other", 0, 0, 0};
+        other.lasting = true;
+        second.add(other);
+        auto* chosen = choose_worker({&first, &second, &third}, request, 0);
+        CPPUNIT_ASSERT(chosen == &second); // shares a worker that cannot be moved anyhow
+        live_run own;
+        own.task = {"j", 0, 0, 0};
+        own.lasting = true;
+        second.add(own);
+        CPPUNIT_ASSERT(choose_worker({&first, &second, &third}, request, 0) != &second);
+    }
+
+    void never_beyond_capacity_or_limit() {
+        auto only = usable_worker("only", 4'000);
+        step_spec step;
+        step.count = 3;
+        step.need = {3'000, 100, 0};
+        step.max_per_worker = 1;
+        placement_request request;
+        request.step = &step;
+        request.job = "j";
+        CPPUNIT_ASSERT(choose_worker({&only}, request, 0) == &only);
+        live_run run;
+        run.task = {"j", 0, 0, 0};
+        run.need = {500, 0, 0};
+        only.add(run);
+        CPPUNIT_ASSERT(choose_worker({&only}, request, 0) == nullptr); // one of the step is there
+        request.job = "other";
+        CPPUNIT_ASSERT(choose_worker({&only}, request, 0) == &only);
+        step.need.cpu = 3'600;
+        CPPUNIT_ASSERT(choose_worker({&only}, request, 0) == nullptr);
+        step.need.cpu = 100;
+        step.required_label = "gpu";
+        CPPUNIT_ASSERT(choose_worker({&only}, request, 0) == nullptr);
+    }
+
+    void silent_and_draining_workers_get_nothing() {
+        auto item = usable_worker("w", 4'000);
+        CPPUNIT_ASSERT(accepts_runs(item, 0));
+        item.hold_unanswered = true;
+        CPPUNIT_ASSERT(!accepts_runs(item, 0));
+        item.hold_unanswered = false;
+        item.draining = true;
+        CPPUNIT_ASSERT(!accepts_runs(item, 0));
+        item.draining = false;
+        item.health.shunned_until = 100;
+        CPPUNIT_ASSERT(!accepts_runs(item, 50));
+        CPPUNIT_ASSERT(accepts_runs(item, 100));
+    }
+
+    void offered_load_sees_a_rise_and_counts_retries_once() {
+        offered_load load;
+        int number = 0;
+        for (time_ms now = 0; now < 1'600; now += now < 800 ? 80 : 40)
+            load.offered("p", std::to_string(++number), 8'000, now);
+        const auto rate = load.rate("p", 1'600);
+        CPPUNIT_ASSERT(rate > 150 && rate < 250);
+        CPPUNIT_ASSERT(load.expected("p", 1'600, 1'500) > rate);
+        for (int i = 1; i <= number; ++i)
+            load.offered("p", std::to_string(i), 8'000, 1'600);
+        CPPUNIT_ASSERT_EQUAL(rate, load.rate("p", 1'600));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, load.rate("unknown", 1'600));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(policy_test);
+
+} // namespace
