--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -25,6 +25,10 @@
 constexpr time_ms round_delay{3};
 constexpr time_ms round_delay_many{10};
 constexpr std::size_t many_workers = 100;
+// Operations wait this long for others to share their log entry.
+constexpr time_ms flush_delay{2};
+constexpr time_ms flush_delay_many{8};
+constexpr time_ms flush_retry{20};
 constexpr time_ms directory_interval{150};
 constexpr time_ms join_interval{200};
 // Answers from workers and the platform come within some ms; orders are repeated after this time.
@@ -42,6 +46,9 @@
 constexpr std::uint64_t max_body_bytes = 4U << 20;
 constexpr std::size_t max_control_connections = 1'500;
 
+// Voters that are kept where there are enough nodes, so that losses may overlap.
+constexpr std::size_t least_voters = 5;
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
@@ -79,8 +86,8 @@
                          const fleet_protocol& protocol, consensus::file_system& files,
                          const clock_source& clock, std::function<void(const std::string&)> failed)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), clock_(clock),
-      failed_(std::move(failed)), controller_(table_, settings_.decisions), tick_timer_(loop),
-      round_timer_(loop) {
+      failed_(std::move(failed)), controller_(table_, settings_.decisions), flush_timer_(loop),
+      tick_timer_(loop), round_timer_(loop) {
     create_links();
     log_node_settings log;
     log.self = settings_.links;
@@ -90,6 +97,7 @@
     log.first_start = settings_.first_start;
     log.seed = wire::new_boot_id();
     log.min_voters = 2 * settings_.tolerated_losses + 1;
+    log.max_voters = std::max(least_voters, log.min_voters);
     log_node::callbacks callbacks;
     callbacks.send = [this](const std::string& node, const consensus::message& value) {
         links_->connect(node);
@@ -196,6 +204,7 @@
     stopping_ = true;
     tick_timer_.cancel();
     round_timer_.cancel();
+    flush_timer_.cancel();
     router_->stop();
     links_->stop();
     server_->stop();
@@ -265,20 +274,59 @@
         one.done(one.term == item.term ? result : std::nullopt);
 }
 
-bool job_control::propose(std::vector<operation> operations,
+void job_control::propose(std::vector<operation> operations,
                           std::function<void(const outcome&)> done) {
+    groups_.push_back({operations.size(), std::move(done)});
+    operations_.insert(operations_.end(), std::make_move_iterator(operations.begin()),
+                       std::make_move_iterator(operations.end()));
+    if (std::exchange(flush_due_, true))
+        return;
+    const auto delay =
+        controller_.workers().size() < many_workers ? flush_delay : flush_delay_many;
+    flush_timer_.expires_after(std::chrono::milliseconds(delay));
+    flush_timer_.async_wait([this](boost::system::error_code error) {
+        flush_due_ = false;
+        if (!error && !stopped_)
+            flush_operations();
+    });
+}
+
+// One entry for all that came in the meantime: each entry costs a message to every replica.
+void job_control::flush_operations() {
+    if (groups_.empty())
+        return;
     command value;
     value.at = wall_clock_ms();
-    value.operations = std::move(operations);
+    value.operations = operations_;
     const auto result = log_->propose(encode(value));
     const auto* place = std::get_if<consensus::proposed>(&result);
     if (!place) {
-        log_event(log_level::warning, "proposal_refused")
-            .field("reason", to_name(std::get<consensus::refusal>(result)));
-        return false;
+        const auto reason = std::get<consensus::refusal>(result);
+        log_event(log_level::warning, "proposal_refused").field("reason", to_name(reason));
+        if (reason == consensus::refusal::overloaded) {
+            flush_due_ = true;
+            flush_timer_.expires_after(std::chrono::milliseconds(flush_retry));
+            flush_timer_.async_wait([this](boost::system::error_code error) {
+                flush_due_ = false;
+                if (!error && !stopped_)
+                    flush_operations();
+            });
+        }
+        return;
     }
+    operations_.clear();
+    auto done = [groups = std::exchange(groups_, {})](const outcome& result) {
+        std::size_t at = 0;
+        for (const auto& group : groups) {
+            outcome part;
+            if (result)
+                part.emplace(result->begin() + static_cast<std::ptrdiff_t>(at),
+                             result->begin() + static_cast<std::ptrdiff_t>(at + group.size));
+            at += group.size;
+            group.done(part);
+        }
+    };
     waiting_.emplace(place->index, waiting_command{place->term, std::move(done)});
-    return true;
 }
 
 void job_control::check_leadership() {
@@ -289,6 +337,8 @@
         controller_.stop_leading();
         // Their fate is decided by the next leader; whoever waits asks again there.
         waiting_.clear();
+        groups_.clear();
+        operations_.clear();
     }
     if (serving && !controller_.leading()) {
         log_event(log_level::info, "leadership_taken")
@@ -403,8 +453,8 @@
         return reply(answer(request.id, status_unavailable));
     }
     controller_.offered(queue, id, *spec, clock_.now());
-    const auto load = controller_.load_of(queue.pool);
-    const auto decision = controller_.consider(queue, *spec);
+    const auto load = controller_.load_of(queue.pool, clock_.now());
+    const auto decision = controller_.consider(queue, *spec, clock_.now());
     log_event(log_level::info, decision.accepted ? "job_accepted" : "job_refused")
         .field("job", id)
         .field("queue", queue.name)
@@ -418,15 +468,12 @@
     if (!decision.accepted)
         return reply(answer(request.id, status_unavailable, {}, decision.retry_after));
     submit_job op{id, queue.name, queue.pool, queue.attempts, std::move(*spec)};
-    const bool proposed =
-        propose({std::move(op)}, [this, reply, request_id = request.id](const outcome& result) {
+    propose({std::move(op)}, [this, reply, request_id = request.id](const outcome& result) {
             if (!result)
                 return; // the next leader is asked
             reply(answer(request_id, status_ok));
             request_round();
         });
-    if (!proposed)
-        reply(answer(request.id, status_unavailable, {}, 1'000));
 }
 
 void job_control::cancel(const std::string& id, const wire::call& request,
@@ -437,15 +484,12 @@
     if (item->ended())
         return reply(answer(request.id, status_ok));
     log_event(log_level::info, "job_cancelled").field("job", id);
-    const bool proposed =
-        propose({cancel_job{id}}, [this, reply, request_id = request.id](const outcome& result) {
+    propose({cancel_job{id}}, [this, reply, request_id = request.id](const outcome& result) {
             if (!result)
                 return;
             reply(answer(request_id, status_ok));
             request_round();
         });
-    if (!proposed)
-        reply(answer(request.id, status_unavailable));
 }
 
 void job_control::handle_fleet(const wire::call& request, const reply_handler& reply) {
@@ -477,7 +521,7 @@
             .field("version", table_.config().version);
         return reply(answer(id, status_ok));
     }
-    const bool proposed = propose(
+    propose(
         {put_configuration{request.value}}, [this, reply, id, version](const outcome& result) {
             if (!result)
                 return;
@@ -485,8 +529,6 @@
             reply(answer(id, status_ok));
             request_round();
         });
-    if (!proposed)
-        reply(answer(id, status_unavailable));
 }
 
 void job_control::handle(const read_configuration&, std::uint64_t id, const reply_handler& reply) {
@@ -500,15 +542,12 @@
         .field("wave", request.order.number)
         .field("machines", std::uint64_t{request.order.machines.size()})
         .field("cap", request.order.cap);
-    const bool proposed =
-        propose({put_wave{request.order}}, [this, reply, id](const outcome& result) {
+    propose({put_wave{request.order}}, [this, reply, id](const outcome& result) {
             if (!result)
                 return;
             reply(answer(id, status_ok));
             request_round();
         });
-    if (!proposed)
-        reply(answer(id, status_unavailable));
 }
 
 void job_control::handle(const read_wave& request, std::uint64_t id, const reply_handler& reply) {
@@ -583,14 +622,12 @@
     made.orders.clear();
     if (!made.log.empty() || !made.ends.empty()) {
         auto operations = made.log;
-        const bool proposed = propose(std::move(operations), [this, made](const outcome& result) {
+        propose(std::move(operations), [this, made](const outcome& result) {
             if (!result)
                 return;
             controller_.committed(made, *result, clock_.now());
             request_round();
         });
-        if (!proposed)
-            controller_.rejected(made, clock_.now());
     }
     for (auto& item : orders)
         send(std::move(item));
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -62,6 +62,11 @@
         consensus::term_t term = 0;
         std::function<void(const outcome&)> done;
     };
+    // Operations that wait for the next log entry, each group with whom to tell.
+    struct operation_group {
+        std::size_t size = 0;
+        std::function<void(const outcome&)> done;
+    };
 
     // Links, membership and the log.
     void create_links();
@@ -71,8 +76,10 @@
     void apply(const consensus::entry& item);
     void publish_directory();
     void connect_members();
-    bool propose(std::vector<workload::operation> operations,
+    // `done` is called once the operations are committed, or never if leadership is lost.
+    void propose(std::vector<workload::operation> operations,
                  std::function<void(const outcome&)> done);
+    void flush_operations();
     void check_leadership();
     void schedule_tick();
 
@@ -132,6 +139,10 @@
     };
     std::map<std::string, worker_pools> pools_;
     std::multimap<consensus::index_t, waiting_command> waiting_;
+    std::vector<workload::operation> operations_;
+    std::vector<operation_group> groups_;
+    boost::asio::steady_timer flush_timer_;
+    bool flush_due_ = false;
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer round_timer_;
     bool round_due_ = false;
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -318,6 +318,10 @@
         if (replace_old_id(node, id))
             return;
         const auto* known = status.membership.find(id);
+        if (!known && status.membership.members.size() >= settings_.max_voters) {
+            ++it; // a spare
+            continue;
+        }
         if (!known) {
             core_->propose_change(consensus::add_learner{id, node});
             return;
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -33,6 +33,9 @@
     std::uint64_t seed = 1;            // for election jitter and new replica ids
     // Silent voters are not removed if fewer voters would be left.
     std::size_t min_voters = 3;
+    // Further nodes are spares: they join when a voter is lost. Each voter costs the leader a
+    // message and an answer for each entry.
+    std::size_t max_voters = 5;
 };
 
 class log_node {
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -41,6 +41,8 @@
 // A worker that has not announced itself for this long is dropped once its leases are over.
 constexpr time_ms silent_worker_limit{20'000};
 constexpr time_ms machine_plan_interval{100};
+// Loads are measured again after this time; what is accepted in between is added to them.
+constexpr time_ms load_age_limit{20};
 // Leases of an earlier leader end after this time: on a clock that is 2% slow, and granted by an
 // estimate of that clock that was up to 2% of a 2 s pause ahead.
 constexpr time_ms inherited_lease{
@@ -95,14 +97,13 @@
     starting_.clear();
     failed_on_.clear();
     out_ = {};
-    retry_ = {};
 }
 
 // Runs that the log knows are taken over with the lease that an earlier leader may have granted.
 void controller::inherit_runs(time_ms now) {
     const auto lease_end = now + inherited_lease;
-    for (const auto& id : table_.open_jobs()) {
-        const auto& item = *table_.find_job(id);
+    for (const auto& [id, open] : table_.open_jobs()) {
+        const auto& item = *open;
         for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
             for (std::uint32_t s = 0; s < item.spec.steps.size(); ++s) {
                 const auto& tasks = item.occurrences[k].steps[s].tasks;
@@ -517,7 +518,7 @@
 }
 
 // Load patterns: see offered_load.h and machine_manager.h.
-std::map<std::string, pool_demand> controller::measure_demand(time_ms now) const {
+std::map<std::string, pool_demand> controller::measure_demand(time_ms now) {
     // Room for uneven packing of tasks on workers.
     constexpr double headroom = 1.2;
     constexpr time_ms contact_time{300};
@@ -525,7 +526,7 @@
     for (const auto& pool : table_.config().pools) {
         const auto ahead = machines_.move_time() + contact_time;
         const auto coming = load_seen_.expected(pool.name, now, ahead);
-        const auto wanted = std::max(coming, load_of(pool.name).in_demand);
+        const auto wanted = std::max(coming, load_of(pool.name, now).in_demand);
         const auto blocked = blocked_.find(pool.name);
         out[pool.name].blocked = blocked == blocked_.end() ? 0 : blocked->second;
         out[pool.name].wanted = static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
@@ -564,21 +565,6 @@
     }
 }
 
-void controller::rejected(const decisions& done, time_ms) {
-    for (std::size_t i = 0; i < done.log.size(); ++i) {
-        if (const auto* start = std::get_if<start_run>(&done.log[i])) {
-            starting_.erase(start->task);
-            if (auto* on = worker_of(start->worker))
-                on->remove({start->task, start->run});
-        } else if (const auto* announced = std::get_if<order_machine>(&done.log[i])) {
-            machines_.rejected(*announced);
-        } else {
-            retry_.log.push_back(done.log[i]);
-        }
-    }
-    retry_.ends.insert(retry_.ends.end(), done.ends.begin(), done.ends.end());
-}
-
 bool controller::is_current(const worker& on, const live_run& run) const {
     if (run.stage == run_stage::logging)
         return true;
@@ -710,15 +696,15 @@
     return at == estimate_rates_.end() ? 1.0 : at->second;
 }
 
-std::string controller::pool_of(const job& item) const {
+const std::string& controller::pool_of(const job& item) const {
     const auto* queue = table_.config().find_queue(item.queue);
     return queue ? queue->pool : item.pool;
 }
 
 std::vector<controller::ready_step> controller::ready_steps(time_ms now, time_ms wall) const {
     std::vector<ready_step> out;
-    for (const auto& id : table_.open_jobs()) {
-        const auto& item = *table_.find_job(id);
+    for (const auto& [id, open] : table_.open_jobs()) {
+        const auto& item = *open;
         if (item.ended())
             continue;
         const auto* queue = table_.config().find_queue(item.queue);
@@ -897,10 +883,6 @@
 decisions controller::decide(time_ms now, time_ms wall) {
     if (!leading())
         return {};
-    // Before anything new, in the order in which it was observed.
-    out_.log.insert(out_.log.begin(), retry_.log.begin(), retry_.log.end());
-    out_.ends.insert(out_.ends.begin(), retry_.ends.begin(), retry_.ends.end());
-    retry_ = {};
     if (now - reviewed_at_ >= review_interval) {
         reviewed_at_ = now;
         retire_lives(now);
@@ -916,29 +898,38 @@
     return std::exchange(out_, {});
 }
 
-pool_load controller::load_of(const std::string& pool) const {
-    pool_load out;
+// One pass over workers and jobs for all pools.
+std::map<std::string, pool_load> controller::measure_loads() const {
+    std::map<std::string, pool_load> out;
     for (const auto& [id, item] : workers_) {
-        if (item.pool != pool || item.draining || item.leaving || item.hold_unanswered)
+        if (item.draining || item.leaving || item.reserved || item.hold_unanswered)
             continue;
-        ++out.workers;
-        out.capacity += item.capacity.cpu;
+        auto& load = out[item.pool];
+        ++load.workers;
+        load.capacity += item.capacity.cpu;
         for (const auto& [key, run] : item.runs) {
             if (run.lasting)
-                out.capacity -= run.need.cpu;
+                load.capacity -= run.need.cpu;
         }
     }
-    out.arriving = machines_.arriving(pool) + machines_.resting();
-    for (const auto& id : table_.open_jobs()) {
-        const auto& item = *table_.find_job(id);
-        if (item.ended() || pool_of(item) != pool)
-            continue;
-        if (!item.lasting() && item.spec.times == 0)
-            add_job_load(item, out);
+    const auto resting = machines_.resting();
+    for (const auto& pool : table_.config().pools)
+        out[pool.name].arriving = machines_.arriving(pool.name) + resting;
+    for (const auto& [id, item] : table_.open_jobs()) {
+        if (!item->ended() && !item->lasting() && item->spec.times == 0)
+            add_job_load(*item, out[pool_of(*item)]);
     }
     return out;
 }
 
+const pool_load& controller::load_of(const std::string& pool, time_ms now) {
+    if (now - loads_measured_at_ >= load_age_limit || loads_.empty()) {
+        loads_ = measure_loads();
+        loads_measured_at_ = now;
+    }
+    return loads_[pool];
+}
+
 void controller::add_job_load(const job& item, pool_load& load) const {
     const auto rate = estimate_rate(item.queue);
     for (const auto& in : item.occurrences) {
@@ -953,8 +944,9 @@
     }
 }
 
-admission controller::consider(const queue_config& queue, const job_spec& spec) const {
-    const auto load = load_of(queue.pool);
+admission controller::consider(const queue_config& queue, const job_spec& spec, time_ms now) {
+    load_of(queue.pool, now);
+    auto& load = loads_[queue.pool];
     const auto rate = estimate_rate(queue.name);
     admission_input input;
     input.chain = longest_chain(spec, rate);
@@ -963,7 +955,11 @@
     input.lasting = std::ranges::any_of(spec.steps, &step_spec::lasting);
     input.scheduled = spec.times > 0;
     input.wait = expected_wait(load, machines_.move_time());
-    return admit(input);
+    const auto decision = admit(input);
+    // Counts until the load is measured again.
+    if (decision.accepted && !input.lasting && !input.scheduled)
+        load.waiting_work += estimated_work(spec, rate);
+    return decision;
 }
 
 time_ms expected_wait(const pool_load& load, time_ms move_time) {
@@ -980,8 +976,8 @@
 
 std::size_t controller::pending(const std::string& queue) const {
     std::size_t out = 0;
-    for (const auto& id : table_.open_jobs()) {
-        const auto& item = *table_.find_job(id);
+    for (const auto& [id, open] : table_.open_jobs()) {
+        const auto& item = *open;
         out += item.queue == queue && item.state == job_state::queued ? 1U : 0U;
     }
     return out;
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -74,18 +74,16 @@
                  time_ms now);
     // The operations of a `decide` were committed; `accepted` as told by the job table.
     void committed(const decisions& done, const std::vector<bool>& accepted, time_ms now);
-    // The log took none of the operations of a `decide`.
-    void rejected(const decisions& done, time_ms now);
 
     // `wall` is the wall clock, for scheduled jobs.
     decisions decide(time_ms now, time_ms wall);
 
     // Whether to take a new job of a queue.
-    admission consider(const queue_config& queue, const job_spec& spec) const;
-    pool_load load_of(const std::string& pool) const;
+    admission consider(const queue_config& queue, const job_spec& spec, time_ms now);
+    const pool_load& load_of(const std::string& pool, time_ms now);
     const std::map<std::string, worker>& workers() const { return workers_; }
     // Queue of a job in force, or its pool alone if the queue is gone.
-    std::string pool_of(const job& item) const;
+    const std::string& pool_of(const job& item) const;
     // Accepted jobs of a queue that have not begun.
     std::size_t pending(const std::string& queue) const;
 
@@ -120,7 +118,8 @@
     void issue_holds(time_ms now);
     std::vector<ready_step> ready_steps(time_ms now, time_ms wall) const;
     void place(time_ms now, time_ms wall);
-    std::map<std::string, pool_demand> measure_demand(time_ms now) const;
+    std::map<std::string, pool_load> measure_loads() const;
+    std::map<std::string, pool_demand> measure_demand(time_ms now);
     void end_life_on(const std::string& machine);
     std::int64_t share_of_worker(std::int64_t cpu) const;
     void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
@@ -143,13 +142,14 @@
     std::set<task_id> starting_;                   // proposed to the log
     std::map<task_id, std::string> failed_on_;     // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
+    std::map<std::string, pool_load> loads_;
+    time_ms loads_measured_at_{0};
     std::set<worker_ref> ended_lives_;             // their machines were ordered away
     offered_load load_seen_;
     machine_manager machines_;
     time_ms machines_planned_at_{0};
     time_ms reviewed_at_{0};
     decisions out_;
-    decisions retry_; // operations that the log did not take
 };
 
 } // namespace clementine::workload
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -415,7 +415,7 @@
         put(out, item.second.at);
     });
     write_list(out, jobs_, [&](const auto& item) { put(out, item.second); });
-    write_list(out, open_, [&](const std::string& id) { out.text(id); });
+    write_list(out, open_, [&](const auto& item) { out.text(item.first); });
     write_list(out, ended_, [&](const auto& item) {
         put(out, item.first);
         write_list(out, item.second, [&](const std::string& id) { out.text(id); });
@@ -439,6 +439,7 @@
             return false;
         loaded.now_ = take_time(in);
         loaded.config_ = take_configuration(in);
+        loaded.config_.index();
         read_list(in, [&] {
             auto& holder = loaded.holders_[in.text()];
             holder.node = in.text();
@@ -449,7 +450,12 @@
             auto id = item.id;
             loaded.jobs_.emplace(std::move(id), std::move(item));
         });
-        read_list(in, [&] { loaded.open_.insert(in.text()); });
+        read_list(in, [&] {
+            auto id = in.text();
+            const auto at = loaded.jobs_.find(id);
+            if (at != loaded.jobs_.end())
+                loaded.open_.emplace(std::move(id), &at->second);
+        });
         read_list(in, [&] {
             auto& ids = loaded.ended_[take_time(in)];
             read_list(in, [&] { ids.push_back(in.text()); });
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -70,6 +70,7 @@
     if (op.value.version <= config_.version)
         return false;
     config_ = op.value;
+    config_.index();
     return true;
 }
 
@@ -87,7 +88,7 @@
     for (const auto& step : op.spec.steps)
         first.steps.push_back(new_progress(step));
     added.occurrences.assign(occurrence_count(op.spec), first);
-    open_.insert(op.id);
+    open_.emplace(op.id, &added);
     return true;
 }
 
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -6,7 +6,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -153,8 +152,8 @@
     const std::map<std::string, job>& jobs() const { return jobs_; }
     const job* find_job(std::string_view id) const;
     const task* find_task(const task_id& id) const;
-    // Ids of jobs that have not ended, and of ended ones with assigned runs.
-    const std::set<std::string>& open_jobs() const { return open_; }
+    // Jobs that have not ended, and ended ones with assigned runs, by id.
+    const std::map<std::string, const job*>& open_jobs() const { return open_; }
     const std::map<std::uint64_t, wave>& waves() const { return waves_; }
     const std::map<std::string, machine_holder>& machine_holders() const { return holders_; }
 
@@ -183,7 +182,7 @@
 
     configuration config_;
     std::map<std::string, job> jobs_;
-    std::set<std::string> open_;
+    std::map<std::string, const job*> open_; // into `jobs_`, whose nodes stay where they are
     std::map<time_ms, std::vector<std::string>> ended_; // by end time
     std::map<std::uint64_t, wave> waves_;
     std::map<std::string, machine_holder> holders_;
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/machine_manager.cpp
@@ -94,17 +94,6 @@
     at->second.announced.reset();
 }
 
-void machine_manager::rejected(const order_machine& announced) {
-    const auto at = machines_.find(announced.machine);
-    if (at == machines_.end())
-        return;
-    auto& item = at->second;
-    item.announced.reset();
-    item.order_under_way = false;
-    item.moving_to.reset();
-    item.upkeep_wave = 0;
-}
-
 std::string machine_manager::worker_on(const std::string& machine) const {
     const auto at = machines_.find(machine);
     return at == machines_.end() ? std::string() : at->second.report.worker;
--- a/src/workload/machine_manager.h
+++ b/src/workload/machine_manager.h
@@ -52,9 +52,8 @@
     bool observe(const upkeep_order& order, order_answer answer, time_ms now);
     // Worker that ran on a machine when it was last listed; empty if unknown.
     std::string worker_on(const std::string& machine) const;
-    // The log took or refused the announcement of an order.
+    // The announcement of an order is in the log.
     void committed(const order_machine& announced, time_ms now, std::vector<order>& orders);
-    void rejected(const order_machine& announced);
 
     // Adds operations and orders. `workers` are reserved for what is planned.
     void decide(std::map<std::string, worker>& workers,
--- a/src/workload/types.cpp
+++ b/src/workload/types.cpp
@@ -1,7 +1,5 @@
 #include "workload/types.h"
 
-#include <algorithm>
-
 namespace clementine::workload {
 
 resources& resources::operator+=(const resources& other) {
@@ -32,14 +30,15 @@
     return left;
 }
 
-const queue_config* configuration::find_queue(std::string_view name) const {
-    const auto at = std::ranges::find(queues, name, &queue_config::name);
-    return at == queues.end() ? nullptr : &*at;
+void configuration::index() {
+    by_name_.clear();
+    for (std::size_t i = 0; i < queues.size(); ++i)
+        by_name_.emplace(queues[i].name, i);
 }
 
-const pool_config* configuration::find_pool(std::string_view name) const {
-    const auto at = std::ranges::find(pools, name, &pool_config::name);
-    return at == pools.end() ? nullptr : &*at;
+const queue_config* configuration::find_queue(const std::string& name) const {
+    const auto at = by_name_.find(name);
+    return at == by_name_.end() ? nullptr : &queues[at->second];
 }
 
 const queue_config* configuration::route(std::string_view host, std::string_view path) const {
--- a/src/workload/types.h
+++ b/src/workload/types.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace clementine::workload {
@@ -91,10 +93,14 @@
     std::vector<pool_config> pools;
     std::string document;
 
-    const queue_config* find_queue(std::string_view name) const;
-    const pool_config* find_pool(std::string_view name) const;
+    // Renews the index; call it after a change of `queues`.
+    void index();
+    const queue_config* find_queue(const std::string& name) const;
     // Queue for a request: the host's longest prefix that the path begins with, or nullptr.
     const queue_config* route(std::string_view host, std::string_view path) const;
+
+  private:
+    std::unordered_map<std::string, std::size_t> by_name_;
 };
 
 // Name of one task: member `index` of a step of occurrence `occurrence` of a job.
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -151,8 +151,8 @@
                 at_work.insert(run.task);
         }
     }
-    for (const auto& id : table_.open_jobs()) {
-        const auto& owner = *table_.find_job(id);
+    for (const auto& [id, open] : table_.open_jobs()) {
+        const auto& owner = *open;
         for (std::uint32_t s = 0; s < owner.spec.steps.size(); ++s) {
             for (std::uint32_t i = 0; owner.spec.steps[s].lasting && i < owner.spec.steps[s].count;
                  ++i) {
@@ -488,7 +488,7 @@
 bool fake_fleet::submit(const std::string& queue, const std::string& id, job_spec spec) {
     const auto& config = *table_.config().find_queue(queue);
     controller_->offered(config, id, spec, now_);
-    if (!controller_->consider(config, spec).accepted)
+    if (!controller_->consider(config, spec, now_).accepted)
         return false;
     command value{now_, {submit_job{id, queue, config.pool, config.attempts, std::move(spec)}}};
     table_.apply(value, term_);
