--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -145,6 +145,9 @@
     if (!settings_.machines.empty())
         machines_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.machines),
                                                 order_connections);
+    // The service takes one call of a node at a time.
+    if (!settings_.advice.empty())
+        advice_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.advice), 1);
     schedule_tick();
     return {};
 }
@@ -215,6 +218,8 @@
     }
     if (machines_)
         machines_->stop();
+    if (advice_)
+        advice_->stop();
     log_->stop();
 }
 
@@ -281,8 +286,7 @@
                        std::make_move_iterator(operations.end()));
     if (std::exchange(flush_due_, true))
         return;
-    const auto delay =
-        controller_.workers().size() < many_workers ? flush_delay : flush_delay_many;
+    const auto delay = controller_.workers().size() < many_workers ? flush_delay : flush_delay_many;
     flush_timer_.expires_after(std::chrono::milliseconds(delay));
     flush_timer_.async_wait([this](boost::system::error_code error) {
         flush_due_ = false;
@@ -445,13 +449,6 @@
         log_event(log_level::info, "job_invalid").field("job", id).field("reason", reason);
         return reply(answer(request.id, status_bad_request));
     }
-    if (queue.needs_placement_advice) {
-        log_event(log_level::warning, "job_refused")
-            .field("job", id)
-            .field("queue", queue.name)
-            .field("reason", "queues with placement advice are not supported");
-        return reply(answer(request.id, status_unavailable));
-    }
     controller_.offered(queue, id, *spec, clock_.now());
     const auto load = controller_.load_of(queue.pool, clock_.now());
     const auto decision = controller_.consider(queue, *spec, clock_.now());
@@ -469,11 +466,11 @@
         return reply(answer(request.id, status_unavailable, {}, decision.retry_after));
     submit_job op{id, queue.name, queue.pool, queue.attempts, std::move(*spec)};
     propose({std::move(op)}, [this, reply, request_id = request.id](const outcome& result) {
-            if (!result)
-                return; // the next leader is asked
-            reply(answer(request_id, status_ok));
-            request_round();
-        });
+        if (!result)
+            return; // the next leader is asked
+        reply(answer(request_id, status_ok));
+        request_round();
+    });
 }
 
 void job_control::cancel(const std::string& id, const wire::call& request,
@@ -485,11 +482,11 @@
         return reply(answer(request.id, status_ok));
     log_event(log_level::info, "job_cancelled").field("job", id);
     propose({cancel_job{id}}, [this, reply, request_id = request.id](const outcome& result) {
-            if (!result)
-                return;
-            reply(answer(request_id, status_ok));
-            request_round();
-        });
+        if (!result)
+            return;
+        reply(answer(request_id, status_ok));
+        request_round();
+    });
 }
 
 void job_control::handle_fleet(const wire::call& request, const reply_handler& reply) {
@@ -521,14 +518,13 @@
             .field("version", table_.config().version);
         return reply(answer(id, status_ok));
     }
-    propose(
-        {put_configuration{request.value}}, [this, reply, id, version](const outcome& result) {
-            if (!result)
-                return;
-            log_event(log_level::info, "configuration_in_force").field("version", version);
-            reply(answer(id, status_ok));
-            request_round();
-        });
+    propose({put_configuration{request.value}}, [this, reply, id, version](const outcome& result) {
+        if (!result)
+            return;
+        log_event(log_level::info, "configuration_in_force").field("version", version);
+        reply(answer(id, status_ok));
+        request_round();
+    });
 }
 
 void job_control::handle(const read_configuration&, std::uint64_t id, const reply_handler& reply) {
@@ -543,11 +539,11 @@
         .field("machines", std::uint64_t{request.order.machines.size()})
         .field("cap", request.order.cap);
     propose({put_wave{request.order}}, [this, reply, id](const outcome& result) {
-            if (!result)
-                return;
-            reply(answer(id, status_ok));
-            request_round();
-        });
+        if (!result)
+            return;
+        reply(answer(id, status_ok));
+        request_round();
+    });
 }
 
 void job_control::handle(const read_wave& request, std::uint64_t id, const reply_handler& reply) {
@@ -658,6 +654,8 @@
     if (std::holds_alternative<list_machines_order>(value) ||
         std::holds_alternative<move_order>(value) || std::holds_alternative<upkeep_order>(value))
         return send_machine_order(std::move(value), {}, {});
+    if (std::holds_alternative<advise_order>(value))
+        return send_advise_order(std::move(value));
     const auto encoded = protocol_.encode_order(value, settings_.node, {});
     const auto* hold = std::get_if<hold_order>(&value);
     const auto& address = std::visit(
@@ -672,17 +670,35 @@
     pool_for(address, hold != nullptr)
         .request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
                  [this, value = std::move(value)](const http_result& exchange) {
-                     order_result result;
-                     if (exchange.failure)
-                         result.answer = *exchange.failure == call_failure::refused
-                                             ? order_answer::not_sent
-                                             : order_answer::no_answer;
-                     else
-                         result = protocol_.decode_answer(value, exchange.status, exchange.body);
-                     observe(value, result, exchange);
+                     observe(value, decode(value, exchange), exchange);
                  });
 }
 
+void job_control::send_advise_order(order value) {
+    const auto limit = std::get<advise_order>(value).limit;
+    if (!advice_) {
+        order_result result;
+        result.answer = order_answer::not_sent;
+        http_result exchange;
+        exchange.received_at = clock_.now();
+        return observe(value, result, exchange);
+    }
+    const auto encoded = protocol_.encode_order(value, settings_.node, {});
+    advice_->request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
+                     [this, value = std::move(value)](const http_result& exchange) {
+                         observe(value, decode(value, exchange), exchange);
+                     });
+}
+
+order_result job_control::decode(const order& value, const http_result& exchange) const {
+    order_result result;
+    if (!exchange.failure)
+        return protocol_.decode_answer(value, exchange.status, exchange.body);
+    result.answer = *exchange.failure == call_failure::refused ? order_answer::not_sent
+                                                               : order_answer::no_answer;
+    return result;
+}
+
 void job_control::send_machine_order(order value, const std::string& page,
                                      std::vector<machine_report> machines) {
     if (!machines_)
@@ -720,6 +736,8 @@
         controller_.observe(*stop, result.answer, now);
     else if (const auto* pace = std::get_if<pace_order>(&value))
         controller_.observe(*pace, result.answer, now);
+    else if (const auto* advise = std::get_if<advise_order>(&value))
+        controller_.observe(*advise, result.answer, result.tickets, result.tickets_valid, now);
     else if (const auto* move = std::get_if<move_order>(&value))
         controller_.observe(*move, result.answer, now);
     else if (const auto* upkeep = std::get_if<upkeep_order>(&value))
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -29,6 +29,7 @@
     std::string listen;   // IP:port for operators and workers
     std::string admin;    // IP:port for metrics
     std::string machines; // IP:port of the platform's machine API; empty: none
+    std::string advice;   // IP:port of the placement advice service; empty: none
     std::string availability_zone;
     std::string folder;
     std::vector<std::string> seeds; // link addresses of some control nodes
@@ -111,6 +112,8 @@
     void request_round();
     void run_round();
     void send(workload::order value);
+    void send_advise_order(workload::order value);
+    workload::order_result decode(const workload::order& value, const http_result& exchange) const;
     void send_machine_order(workload::order value, const std::string& page,
                             std::vector<workload::machine_report> machines);
     void observe(const workload::order& value, const workload::order_result& result,
@@ -132,6 +135,7 @@
     std::shared_ptr<http_server> server_;
     std::shared_ptr<http_server> admin_;
     std::shared_ptr<http_pool> machines_;
+    std::shared_ptr<http_pool> advice_;
     struct worker_pools {
         std::shared_ptr<http_pool> holds;
         std::shared_ptr<http_pool> orders;
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -1,6 +1,7 @@
 #include "workload/controller.h"
 
 #include "base/log.h"
+#include "workload/pacing.h"
 
 #include <algorithm>
 #include <utility>
@@ -43,6 +44,11 @@
 constexpr time_ms machine_plan_interval{100};
 // Loads are measured again after this time; what is accepted in between is added to them.
 constexpr time_ms load_age_limit{20};
+// Workers named in one call for advice, which takes time for each, and calls at a time.
+constexpr std::size_t advice_names = 30;
+constexpr int max_advice_calls = 4;
+constexpr time_ms advice_slack{600};
+constexpr time_ms advice_retry{500};
 // Leases of an earlier leader end after this time: on a clock that is 2% slow, and granted by an
 // estimate of that clock that was up to 2% of a 2 s pause ahead.
 constexpr time_ms inherited_lease{
@@ -96,6 +102,8 @@
     old_lives_.clear();
     starting_.clear();
     failed_on_.clear();
+    advice_.clear();
+    advice_under_way_ = 0;
     out_ = {};
 }
 
@@ -126,6 +134,7 @@
                     run.need = occupied(item.spec.steps[s]);
                     run.lasting = item.spec.steps[s].lasting;
                     run.filler = item.spec.steps[s].filler;
+                    run.target_tail = item.spec.steps[s].target_tail;
                     run.inherited = true;
                     run.stage = run_stage::ordered;
                     run.since = now;
@@ -265,6 +274,7 @@
         resolve_listed(*from, lists, sent_at, received_at);
         take_ends(*from, lists, received_at);
         resolve_absent(*from, lists, sent_at);
+        pace_fillers(*from, received_at);
         return;
     }
     from->next_hold_at = received_at + hold_retry;
@@ -300,6 +310,7 @@
                 added.need = occupied(step);
                 added.lasting = step.lasting;
                 added.filler = step.filler;
+                added.target_tail = step.target_tail;
             }
             added.foreign = !is_current(from, added);
             run = &from.add(std::move(added));
@@ -389,6 +400,32 @@
         lose(from, key);
 }
 
+// Load pattern: see pacing.h.
+void controller::pace_fillers(worker& on, time_ms now) {
+    const bool any =
+        std::ranges::any_of(on.runs, [](const auto& item) { return item.second.filler; });
+    if (!any)
+        return;
+    const auto worst = worst_tail_ratio(on);
+    if (worst >= tail_too_high)
+        on.tail_high_at = now;
+    for (auto& [key, run] : on.runs) {
+        if (!run.filler || run.stage != run_stage::listed || run.pace_under_way || run.stop_wanted)
+            continue;
+        const auto next = next_pace(run.pace, worst, now - on.tail_high_at);
+        if (!next)
+            continue;
+        log_event(log_level::info, "filler_paced")
+            .field("job", run.task.job)
+            .field("index", run.task.index)
+            .field("worker", on.ref.id)
+            .field("percent", *next)
+            .field("tail_ratio", worst);
+        run.pace_under_way = true;
+        out_.orders.emplace_back(pace_order{on.ref, on.address, run.task, run.run, *next, fence_});
+    }
+}
+
 void controller::record_success(worker& on) {
     on.health.failed = 0;
     on.health.on_probation = false;
@@ -443,6 +480,8 @@
         .field("attempt", run->start_attempts);
     if (answer == order_answer::unhealthy)
         record_failure(*on, order.task.job, now, "unhealthy");
+    if (answer == order_answer::no_ticket)
+        advice_.erase({order.task.job, order.task.occurrence, order.task.step, 0});
     if (answer == order_answer::not_sent) {
         on->hold_unanswered = true;
         on->next_hold_at = now;
@@ -594,6 +633,7 @@
     order.until = until;
     order.fence = fence_;
     order.checkpoint = item->checkpoint;
+    order.ticket = ticket_for(run.task, on.ref);
     out_.orders.emplace_back(std::move(order));
 }
 
@@ -760,6 +800,7 @@
     added.need = occupied(step);
     added.lasting = step.lasting;
     added.filler = step.filler;
+    added.target_tail = step.target_tail;
     added.since = now;
     added.checkpoint = item.checkpoint;
     on.add(std::move(added));
@@ -873,11 +914,110 @@
     }
     for (const auto& item : steps) {
         auto& pool = pools[pool_of(*item.owner)];
-        if (item.owner->spec.steps[item.step].gang)
-            place_gang(item, pool, now);
-        else
-            place_step(item, pool, now);
+        const auto* queue = table_.config().find_queue(item.owner->queue);
+        if (queue && queue->needs_placement_advice) {
+            std::vector<worker*> allowed;
+            if (!advised(item, pool, allowed, now))
+                continue;
+            place_advised(item, allowed, now);
+            continue;
+        }
+        place_advised(item, pool, now);
+    }
+}
+
+void controller::place_advised(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+    if (item.owner->spec.steps[item.step].gang)
+        place_gang(item, pool, now);
+    else
+        place_step(item, pool, now);
+}
+
+// Fills `allowed` with the workers that may run a step; false while nothing is known of it.
+bool controller::advised(const ready_step& item, const std::vector<worker*>& pool,
+                         std::vector<worker*>& allowed, time_ms now) {
+    auto& known = advice_[{item.owner->id, item.occurrence, item.step, 0}];
+    if (now >= known.valid_until && !known.under_way) {
+        known.tickets.clear();
+        known.asked.clear();
+    }
+    const auto need = occupied(item.owner->spec.steps[item.step]);
+    bool room = false;
+    for (auto* candidate : pool) {
+        if (!known.tickets.contains(candidate->ref))
+            continue;
+        allowed.push_back(candidate);
+        room = room || candidate->free().holds(need);
     }
+    if (!room && !known.under_way && now >= known.retry_at && advice_under_way_ < max_advice_calls)
+        ask_advice(item, pool, known);
+    return !allowed.empty();
+}
+
+// Names the workers with the most room that were not named yet.
+void controller::ask_advice(const ready_step& item, const std::vector<worker*>& pool,
+                            advice& known) {
+    const auto* queue = table_.config().find_queue(item.owner->queue);
+    std::vector<const worker*> candidates;
+    for (const auto* candidate : pool) {
+        if (!known.asked.contains(candidate->ref.id))
+            candidates.push_back(candidate);
+    }
+    if (candidates.empty())
+        return;
+    std::ranges::sort(
+        candidates, [](const worker* a, const worker* b) { return a->free().cpu > b->free().cpu; });
+    advise_order order;
+    order.step = {item.owner->id, item.occurrence, item.step, 0};
+    order.fence = fence_;
+    for (const auto* candidate : candidates) {
+        if (order.workers.size() == advice_names)
+            break;
+        order.workers.push_back(candidate->ref.id);
+        known.asked.insert(candidate->ref.id);
+    }
+    const auto each =
+        queue->advice_decide + queue->advice_period * static_cast<time_ms>(order.workers.size());
+    order.limit = advice_slack + each * (advice_under_way_ + 1);
+    known.under_way = true;
+    ++advice_under_way_;
+    out_.orders.emplace_back(std::move(order));
+}
+
+void controller::observe(const advise_order& order, order_answer answer,
+                         const std::vector<placement_ticket>& tickets, time_ms valid, time_ms now) {
+    if (order.fence != fence_)
+        return;
+    --advice_under_way_;
+    auto& known = advice_[order.step];
+    known.under_way = false;
+    log_event(log_level::info, "placement_advice")
+        .field("job", order.step.job)
+        .field("step", order.step.step)
+        .field("named", std::uint64_t{order.workers.size()})
+        .field("allowed", std::uint64_t{tickets.size()})
+        .field("answer", to_name(answer));
+    if (answer != order_answer::done) {
+        known.asked.clear();
+        known.retry_at = now + advice_retry;
+        return;
+    }
+    // Half of the time is left for the start to arrive.
+    const auto until = now + valid / 2;
+    known.valid_until = known.tickets.empty() ? until : std::min(known.valid_until, until);
+    for (const auto& item : tickets) {
+        const auto at = workers_.find(item.worker);
+        if (at != workers_.end())
+            known.tickets[at->second.ref] = item.ticket;
+    }
+}
+
+std::string controller::ticket_for(const task_id& task, const worker_ref& on) const {
+    const auto known = advice_.find({task.job, task.occurrence, task.step, 0});
+    if (known == advice_.end())
+        return {};
+    const auto at = known->second.tickets.find(on);
+    return at == known->second.tickets.end() ? std::string() : at->second;
 }
 
 decisions controller::decide(time_ms now, time_ms wall) {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -66,6 +66,8 @@
     void observe(const start_order& order, order_answer answer, time_ms now);
     void observe(const stop_order& order, order_answer answer, time_ms now);
     void observe(const pace_order& order, order_answer answer, time_ms now);
+    void observe(const advise_order& order, order_answer answer,
+                 const std::vector<placement_ticket>& tickets, time_ms valid, time_ms now);
     void observe(const move_order& order, order_answer answer, time_ms now);
     void observe(const upkeep_order& order, order_answer answer, time_ms now);
     void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
@@ -98,7 +100,20 @@
         time_ms slack{0};
     };
 
+    // What the advice service said about a step.
+    struct advice {
+        std::map<worker_ref, std::string> tickets;
+        std::set<std::string> asked; // workers named so far
+        time_ms valid_until{0};
+        time_ms retry_at{0}; // after a call without an answer
+        bool under_way = false;
+    };
+
     worker* worker_of(const worker_ref& ref);
+    bool advised(const ready_step& item, const std::vector<worker*>& pool,
+                 std::vector<worker*>& allowed, time_ms now);
+    void ask_advice(const ready_step& item, const std::vector<worker*>& pool, advice& known);
+    std::string ticket_for(const task_id& task, const worker_ref& on) const;
     void inherit_runs(time_ms now);
     void inherit_load(time_ms now, time_ms wall);
     void forget_life(worker& gone, const char* reason);
@@ -108,6 +123,7 @@
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
     void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
     void take_ends(worker& from, const worker_lists& lists, time_ms now);
+    void pace_fillers(worker& on, time_ms now);
     void record_success(worker& on);
     void record_failure(worker& on, const std::string& job, time_ms now, const char* reason);
     void review_runs(worker& on, time_ms now);
@@ -123,6 +139,7 @@
     void end_life_on(const std::string& machine);
     std::int64_t share_of_worker(std::int64_t cpu) const;
     void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
+    void place_advised(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     bool place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     void propose_start(const task_id& id, const task& item, worker& on, std::uint32_t run,
                        time_ms now);
@@ -138,13 +155,15 @@
     std::map<std::string, worker> workers_;         // by id, the newest life
     std::map<std::string, std::string> at_address_; // address -> id
     std::vector<worker> old_lives_; // superseded lives whose runs may still hold a lease
-    std::map<std::string, std::int64_t> blocked_;  // by pool: see pool_demand
+    std::map<std::string, std::int64_t> blocked_; // by pool: see pool_demand
+    std::map<task_id, advice> advice_;            // by the first task of the step
+    int advice_under_way_ = 0;
     std::set<task_id> starting_;                   // proposed to the log
     std::map<task_id, std::string> failed_on_;     // worker on which a task failed last
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
     std::map<std::string, pool_load> loads_;
     time_ms loads_measured_at_{0};
-    std::set<worker_ref> ended_lives_;             // their machines were ordered away
+    std::set<worker_ref> ended_lives_; // their machines were ordered away
     offered_load load_seen_;
     machine_manager machines_;
     time_ms machines_planned_at_{0};
--- a/src/workload/fleet_protocol.h
+++ b/src/workload/fleet_protocol.h
@@ -37,9 +37,11 @@
 
 struct order_result {
     order_answer answer = order_answer::invalid;
-    worker_lists lists;                   // of a hold
-    std::vector<machine_report> machines; // of a list of machines
-    std::string next_page;                // of a list of machines; empty: that was all
+    worker_lists lists;                    // of a hold
+    std::vector<machine_report> machines;  // of a list of machines
+    std::vector<placement_ticket> tickets; // of the advice service
+    time_ms tickets_valid{0};
+    std::string next_page; // of a list of machines; empty: that was all
 };
 
 // Requests to the control nodes, decoded.
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -123,6 +123,8 @@
         out.u32(queue.attempts);
         out.u64(static_cast<std::uint64_t>(queue.stretch * ratio_unit));
         out.u8(queue.needs_placement_advice ? 1 : 0);
+        put(out, queue.advice_decide);
+        put(out, queue.advice_period);
     });
     write_list(out, value.pools, [&](const pool_config& pool) {
         out.text(pool.name);
@@ -146,6 +148,8 @@
         queue.attempts = in.u32();
         queue.stretch = static_cast<double>(in.u64()) / ratio_unit;
         queue.needs_placement_advice = in.u8() != 0;
+        queue.advice_decide = take_time(in);
+        queue.advice_period = take_time(in);
         out.queues.push_back(std::move(queue));
     });
     read_list(in, [&] {
--- a/src/workload/orders.h
+++ b/src/workload/orders.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace clementine::workload {
 
@@ -51,6 +52,14 @@
     std::uint64_t fence = 0;
 };
 
+// Asks the advice service which of some workers may run a step.
+struct advise_order {
+    task_id step; // any task of it
+    std::vector<std::string> workers;
+    time_ms limit{0}; // for the answer, with calls that are before it
+    std::uint64_t fence = 0;
+};
+
 struct list_machines_order {};
 
 // Moves a machine to another pool; what runs on it ends at once.
@@ -67,8 +76,14 @@
     std::uint64_t fence = 0;
 };
 
-using order = std::variant<start_order, stop_order, hold_order, pace_order, list_machines_order,
-                           move_order, upkeep_order>;
+using order = std::variant<start_order, stop_order, hold_order, pace_order, advise_order,
+                           list_machines_order, move_order, upkeep_order>;
+
+// A worker that may run a step, with the proof that its start needs.
+struct placement_ticket {
+    std::string worker;
+    std::string ticket;
+};
 
 enum class order_answer {
     done,
--- a/src/workload/types.h
+++ b/src/workload/types.h
@@ -77,6 +77,8 @@
     std::uint32_t attempts = 1;
     double stretch = 1.0; // allowed ratio of a job's time to its longest chain of work
     bool needs_placement_advice = false; // only workers named by the advice service may be used
+    time_ms advice_decide{0};            // time of the service for one call
+    time_ms advice_period{0};            // and for each worker named in it
 };
 
 // A pool of workers that serve the queues of one service.
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -51,7 +51,7 @@
     std::int64_t load = 0;
     int pace = 100;
     bool pace_under_way = false;
-    time_ms over_target_since{0}; // tail above the target since then; 0: not above
+    time_ms target_tail{0}; // response time to stay below; 0: none
 };
 
 using run_key = std::pair<task_id, std::uint32_t>;
@@ -97,6 +97,7 @@
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
+    time_ms tail_high_at{0}; // when a tail was last too close to its target
     resources used;
     worker_health health;
 
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -19,6 +19,8 @@
 constexpr time_ms election_time{1'500};
 constexpr time_ms notice_time{4'500};
 constexpr time_ms longest_lease{10'000};
+constexpr time_ms advice_time{60};
+constexpr time_ms ticket_life{3'000};
 constexpr int whole_percent = 100;
 
 std::string name_of(const task_id& id) {
@@ -65,7 +67,9 @@
 fake_fleet::fake_fleet(fleet_options options)
     : options_(std::move(options)), random_(options_.seed) {
     command first;
-    first.operations.emplace_back(put_configuration{fake_configuration()});
+    auto config = fake_configuration();
+    config.queues[0].needs_placement_advice = options_.advice;
+    first.operations.emplace_back(put_configuration{config});
     table_.apply(first, term_);
     auto pools = options_.pools;
     pools.emplace_back(options_.standby, options_.standby_machines);
@@ -257,6 +261,8 @@
                         controller_->observe(
                             out, lists_fail ? order_answer::no_answer : order_answer::done, now_);
                 });
+            else if constexpr (std::is_same_v<type, advise_order>)
+                advise(item);
             else if constexpr (std::is_same_v<type, move_order> ||
                                std::is_same_v<type, upkeep_order>)
                 at(now_ + one_way, [this, item] { call_machine(item); });
@@ -306,6 +312,24 @@
     });
 }
 
+// Every other worker may run a step; a ticket names the step and the worker.
+void fake_fleet::advise(const advise_order& value) {
+    ++advice_calls_;
+    at(now_ + advice_time, [this, value, term = term_] {
+        std::vector<placement_ticket> tickets;
+        for (const auto& id : value.workers) {
+            if (may_run(id))
+                tickets.push_back({id, value.step.job + id});
+        }
+        if (term == term_)
+            controller_->observe(value, order_answer::done, tickets, ticket_life, now_);
+    });
+}
+
+bool fake_fleet::may_run(const std::string& worker) {
+    return (worker.back() - '0') % 2 == 0;
+}
+
 bool fake_fleet::fits_fence(fake_worker& on, std::uint64_t fence) {
     if (fence < on.fence)
         return false;
@@ -376,6 +400,10 @@
         return order_answer::superseded;
     if (value.until <= on.clock(now_))
         return order_answer::late;
+    const auto& queue = table_.find_job(value.task.job)->queue;
+    if (table_.config().find_queue(queue)->needs_placement_advice &&
+        value.ticket != value.task.job + on.ref.id)
+        return order_answer::no_ticket;
     check_start(on, value);
     on.lease_until = std::max(on.lease_until, value.until);
     const auto& spec = spec_of(value.task);
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -67,6 +67,7 @@
     std::string standby = "spare";
     int standby_machines = 2;
     bool machine_orders = true; // false: fixed pools
+    bool advice = false;        // queue "qa" needs placement advice
     double late_orders = 0;     // share of orders without an answer, carried out 2 to 12 s later
     double commit_loss = 0;     // share of a crashed leader's commands that were not committed
 };
@@ -91,6 +92,9 @@
     std::map<std::string, fake_worker>& workers() { return workers_; }
     std::map<std::string, fake_machine>& machines() { return machines_; }
     const std::vector<std::string>& violations() const { return violations_; }
+    int advice_calls() const { return advice_calls_; }
+    // What the advice service says of a worker.
+    static bool may_run(const std::string& worker);
     int moves() const { return moves_; }
     int upkeeps() const { return upkeeps_; }
     // Real time of a decision, for benchmarks.
@@ -122,6 +126,7 @@
     worker_lists lists_of(const fake_worker& on) const;
     void call_machine(const move_order& value);
     void call_machine(const upkeep_order& value);
+    void advise(const advise_order& value);
     bool fits_fence(fake_worker& on, std::uint64_t fence);
     void check_start(const fake_worker& on, const start_order& value);
     void check_availability(const fake_worker& on, const char* by);
@@ -143,6 +148,7 @@
     int next_worker_ = 0;
     int next_port_ = 1;
     int moves_ = 0;
+    int advice_calls_ = 0;
     int upkeeps_ = 0;
     std::int64_t rounds_ = 0;
     double rounds_us_ = 0;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(machines_follow_a_surge);
     CPPUNIT_TEST(late_orders_never_double_a_task);
     CPPUNIT_TEST(new_leader_neither_loses_nor_doubles_work);
+    CPPUNIT_TEST(advised_steps_run_only_where_they_may);
     CPPUNIT_TEST(random_days_keep_all_promises);
     CPPUNIT_TEST_SUITE_END();
 
@@ -191,6 +192,25 @@
         assert_clean(fleet);
     }
 
+    // Only some workers may run a step, and only the advice service knows which.
+    void advised_steps_run_only_where_they_may() {
+        fleet_options options;
+        options.advice = true;
+        options.machine_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(2'500);
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(fleet.submit("qa", id_of(i), two_steps(make_step(4, 1'000, 500))));
+        fleet.run_for(300);
+        for (const auto& [id, item] : fleet.workers())
+            CPPUNIT_ASSERT(item.runs.empty() || fake_fleet::may_run(id));
+        fleet.run_for(5'000);
+        for (int i = 0; i < 5; ++i)
+            CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
+        CPPUNIT_ASSERT(fleet.advice_calls() >= 10 && fleet.advice_calls() <= 30);
+        assert_clean(fleet);
+    }
+
     // Faults, waves and changes of the leader at random times, from fixed seeds.
     void random_days_keep_all_promises() {
         for (std::uint64_t seed = 1; seed <= 40; ++seed) {
--- a/tests/workload/policy_test.cpp
+++ b/tests/workload/policy_test.cpp
@@ -2,6 +2,7 @@
 #include "workload/admission.h"
 #include "workload/controller.h"
 #include "workload/offered_load.h"
+#include "workload/pacing.h"
 #include "workload/placement.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,6 +31,7 @@
     CPPUNIT_TEST(never_beyond_capacity_or_limit);
     CPPUNIT_TEST(silent_and_draining_workers_get_nothing);
     CPPUNIT_TEST(offered_load_sees_a_rise_and_counts_retries_once);
+    CPPUNIT_TEST(fillers_give_way_to_response_times);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -146,6 +148,25 @@
         CPPUNIT_ASSERT(accepts_runs(item, 100));
     }
 
+    // A filler beside a task whose tail nears its target is slowed within two reports, stopped when
+    // the tail is far above, and comes back by steps after a calm time.
+    void fillers_give_way_to_response_times() {
+        CPPUNIT_ASSERT_EQUAL(50, next_pace(100, 0.9, 0).value());
+        CPPUNIT_ASSERT_EQUAL(0, next_pace(12, 0.9, 0).value());
+        CPPUNIT_ASSERT_EQUAL(0, next_pace(100, 1.5, 0).value());
+        CPPUNIT_ASSERT(!next_pace(50, 0.3, 500).has_value());
+        CPPUNIT_ASSERT_EQUAL(70, next_pace(50, 0.3, 3'000).value());
+        CPPUNIT_ASSERT(!next_pace(100, 0.3, 3'000).has_value());
+        auto item = usable_worker("w", 16'000);
+        live_run run;
+        run.task = {"j", 0, 0, 0};
+        run.stage = run_stage::listed;
+        run.target_tail = 40;
+        run.load = 60;
+        item.add(run);
+        CPPUNIT_ASSERT_EQUAL(1.5, worst_tail_ratio(item));
+    }
+
     void offered_load_sees_a_rise_and_counts_retries_once() {
         offered_load load;
         int number = 0;
