--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -24,7 +24,6 @@
 // many workers each round costs more, and a longer wait saves entries and syncs.
 constexpr time_ms round_delay{3};
 constexpr time_ms round_delay_many{10};
-constexpr std::size_t many_workers = 100;
 // Operations wait this long for others to share their log entry.
 constexpr time_ms flush_delay{2};
 constexpr time_ms flush_delay_many{8};
@@ -107,6 +106,9 @@
     callbacks.load = [this](std::string_view bytes) { return table_.load(bytes); };
     callbacks.save = [this] { return table_.save(); };
     callbacks.failed = failed_;
+    callbacks.synced = [this](time_ms took) {
+        metrics_.observe_ms("clementine_log_sync_ms", {}, static_cast<double>(took));
+    };
     log_ = std::make_unique<log_node>(loop_, std::move(log), files, clock_, callbacks);
 }
 
@@ -266,9 +268,10 @@
 void job_control::apply(const consensus::entry& item) {
     const auto value = decode_command(item.data);
     outcome result;
-    if (value)
+    if (value) {
         result = table_.apply(*value, item.term);
-    else
+        record_progress(*value, *result);
+    } else
         log_event(log_level::error, "command_unreadable").field("index", std::uint64_t{item.index});
     const auto range = waiting_.equal_range(item.index);
     std::vector<waiting_command> done;
@@ -279,6 +282,50 @@
         one.done(one.term == item.term ? result : std::nullopt);
 }
 
+// What a committed command changed about jobs, told by the leader.
+void job_control::record_progress(const command& value, const std::vector<bool>& accepted) {
+    if (!controller_.leading())
+        return;
+    std::set<std::string> begun;
+    for (std::size_t i = 0; i < value.operations.size(); ++i) {
+        if (!accepted[i])
+            continue;
+        if (const auto* start = std::get_if<start_run>(&value.operations[i])) {
+            log_event(log_level::info, "run_started")
+                .field("job", start->task.job)
+                .field("step", start->task.step)
+                .field("index", start->task.index)
+                .field("run", start->run)
+                .field("worker", start->worker.id);
+            const auto* owner = table_.find_job(start->task.job);
+            if (owner && owner->begun_at == value.at && begun.insert(owner->id).second)
+                metrics_.observe_ms("clementine_first_start_ms", {{"queue", owner->queue}},
+                                    static_cast<double>(owner->begun_at - owner->accepted_at));
+        } else if (const auto* end = std::get_if<end_run>(&value.operations[i])) {
+            record_end(end->task.job, value.at);
+        } else if (const auto* cancel = std::get_if<cancel_job>(&value.operations[i])) {
+            record_end(cancel->id, value.at);
+        }
+    }
+}
+
+void job_control::record_end(const std::string& id, time_ms at) {
+    const auto* item = table_.find_job(id);
+    if (!item || item->ended_at != at || !item->ended())
+        return;
+    log_event(log_level::info, "job_ended")
+        .field("job", id)
+        .field("queue", item->queue)
+        .field("state", to_name(item->state))
+        .field("waited_ms",
+               item->begun_at == 0 ? at - item->accepted_at : item->begun_at - item->accepted_at)
+        .field("took_ms", at - item->accepted_at);
+    metrics_.add("clementine_jobs_ended",
+                 {{"queue", item->queue}, {"state", std::string(to_name(item->state))}});
+    metrics_.observe_ms("clementine_job_ms", {{"queue", item->queue}},
+                        static_cast<double>(at - item->accepted_at));
+}
+
 void job_control::propose(std::vector<operation> operations,
                           std::function<void(const outcome&)> done) {
     groups_.push_back({operations.size(), std::move(done)});
@@ -345,6 +392,7 @@
         operations_.clear();
     }
     if (serving && !controller_.leading()) {
+        metrics_.add("clementine_leaderships", {});
         log_event(log_level::info, "leadership_taken")
             .field("term", log_->term())
             .field("commit", std::uint64_t{log_->commit_index()})
@@ -587,9 +635,20 @@
     metrics_.set("clementine_replica_leader", {}, was_serving_ ? 1 : 0);
     metrics_.set("clementine_replica_term", {}, static_cast<double>(log_->term()));
     metrics_.set("clementine_replica_commit_index", {}, static_cast<double>(log_->commit_index()));
-    metrics_.set("clementine_log_sync_ms", {}, static_cast<double>(log_->last_sync_took()));
     metrics_.set("clementine_configuration_version", {},
                  static_cast<double>(table_.config().version));
+    const auto& counts = controller_.counters();
+    metrics_.set("clementine_run_starts", {}, static_cast<double>(counts.starts));
+    metrics_.set("clementine_run_starts_unconfirmed", {},
+                 static_cast<double>(counts.unconfirmed_starts));
+    for (std::size_t i = 0; i < counts.ends.size(); ++i)
+        metrics_.set("clementine_run_ends", {{"how", std::string(run_end_names[i])}},
+                     static_cast<double>(counts.ends[i]));
+    metrics_.set("clementine_runs_lost", {}, static_cast<double>(counts.lost_runs));
+    metrics_.set("clementine_runs_stalled", {}, static_cast<double>(counts.stalled_runs));
+    metrics_.set("clementine_workers_shunned", {}, static_cast<double>(counts.shunned_workers));
+    metrics_.set("clementine_workers_silent", {}, static_cast<double>(counts.silent_workers));
+    metrics_.set("clementine_log_lines_dropped", {}, static_cast<double>(dropped_log_lines()));
     metrics_.set("clementine_open_jobs", {}, static_cast<double>(table_.open_jobs().size()));
     metrics_.set("clementine_workers", {}, static_cast<double>(controller_.workers().size()));
     respond(make_response(http::status::ok, metrics_.render(), "text/plain; version=0.0.4"));
@@ -719,6 +778,8 @@
             if (result.answer == order_answer::done && !result.next_page.empty())
                 return send_machine_order(std::move(value), result.next_page, std::move(machines));
             result.machines = std::move(machines);
+            metrics_.add("clementine_platform_calls",
+                         {{"answer", std::string(to_name(result.answer))}});
             observe(value, result, exchange);
         });
 }
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -81,6 +81,8 @@
     void propose(std::vector<workload::operation> operations,
                  std::function<void(const outcome&)> done);
     void flush_operations();
+    void record_progress(const workload::command& value, const std::vector<bool>& accepted);
+    void record_end(const std::string& id, time_ms at);
     void check_leadership();
     void schedule_tick();
 
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -248,7 +248,7 @@
         const auto took = clock_.now() - started;
         asio::post(loop_, [this, work = std::move(work), error = std::move(error), took] {
             writing_ = false;
-            last_sync_took_ = took;
+            handlers_.synced(took);
             if (stopped_ || failed_)
                 return;
             if (error)
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -49,6 +49,8 @@
         std::function<std::string()> save;
         // The replica cannot go on, for example after a failed write.
         std::function<void(const std::string& reason)> failed;
+        // A write was synced after this time.
+        std::function<void(time_ms)> synced;
     };
 
     log_node(boost::asio::io_context& loop, log_node_settings settings,
@@ -85,8 +87,6 @@
     const consensus::membership& members() const { return core_->members(); }
     bool is_voter() const { return core_->members().is_voter(id_); }
     consensus::index_t commit_index() const { return core_->commit_index(); }
-    // Time of the last completed sync, and how long it took.
-    time_ms last_sync_took() const { return last_sync_took_; }
 
   private:
     std::string open_storage(consensus::durable_state& disk);
@@ -117,7 +117,6 @@
     consensus::index_t applied_ = 0;
     consensus::index_t last_snapshot_ = 0;
     std::size_t bytes_since_snapshot_ = 0;
-    time_ms last_sync_took_ = 0;
     bool failed_ = false;
     bool stopped_ = false;
     bool pumping_ = false;
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -10,6 +10,7 @@
 #include "workload/offered_load.h"
 #include "workload/placement.h"
 
+#include <array>
 #include <map>
 #include <set>
 #include <string>
@@ -44,6 +45,17 @@
     std::size_t workers = 0;
 };
 
+// What happened since the process started.
+struct controller_counters {
+    std::uint64_t starts = 0;                               // orders to start a run
+    std::uint64_t unconfirmed_starts = 0;                   // without a clear answer
+    std::array<std::uint64_t, run_end_names.size()> ends{}; // by run_end
+    std::uint64_t lost_runs = 0;
+    std::uint64_t stalled_runs = 0;
+    std::uint64_t shunned_workers = 0;
+    std::uint64_t silent_workers = 0;
+};
+
 // Time until work that comes now can start; `move_time` until arriving machines are there.
 time_ms expected_wait(const pool_load& load, time_ms move_time);
 
@@ -84,6 +96,7 @@
     admission consider(const queue_config& queue, const job_spec& spec, time_ms now);
     const pool_load& load_of(const std::string& pool, time_ms now);
     const std::map<std::string, worker>& workers() const { return workers_; }
+    const controller_counters& counters() const { return counters_; }
     // Queue of a job in force, or its pool alone if the queue is gone.
     const std::string& pool_of(const job& item) const;
     // Accepted jobs of a queue that have not begun.
@@ -168,6 +181,7 @@
     machine_manager machines_;
     time_ms machines_planned_at_{0};
     time_ms reviewed_at_{0};
+    controller_counters counters_;
     decisions out_;
 };
 
--- /dev/null
+++ b/src/workload/controller_loads.cpp
@@ -0,0 +1,151 @@
+// The part of the controller that weighs the load of each pool.
+#include "workload/controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace clementine::workload {
+
+namespace {
+
+// Loads are measured again after this time; what is accepted in between is added to them.
+constexpr time_ms load_age_limit{20};
+
+} // namespace
+
+// Jobs that an earlier leader took in the last moments are part of the load that is offered.
+void controller::inherit_load(time_ms now, time_ms wall) {
+    constexpr time_ms recent{3'000};
+    load_seen_ = {};
+    std::vector<const job*> jobs;
+    for (const auto& [id, item] : table_.jobs()) {
+        if (!item.lasting() && item.spec.times == 0 && item.accepted_at > wall - recent &&
+            item.accepted_at <= wall)
+            jobs.push_back(&item);
+    }
+    std::ranges::sort(jobs, {}, &job::accepted_at);
+    for (const auto* item : jobs)
+        load_seen_.offered(pool_of(*item), item->id,
+                           estimated_work(item->spec, estimate_rate(item->queue)),
+                           now - (wall - item->accepted_at));
+}
+
+void controller::offered(const queue_config& queue, const std::string& id, const job_spec& spec,
+                         time_ms now) {
+    if (!std::ranges::any_of(spec.steps, &step_spec::lasting) && spec.times == 0)
+        load_seen_.offered(queue.pool, id, estimated_work(spec, estimate_rate(queue.name)), now);
+}
+
+// Load patterns: see offered_load.h and machine_manager.h.
+std::map<std::string, pool_demand> controller::measure_demand(time_ms now) {
+    // Room for uneven packing of tasks on workers.
+    constexpr double headroom = 1.2;
+    constexpr time_ms contact_time{300};
+    std::map<std::string, pool_demand> out;
+    for (const auto& pool : table_.config().pools) {
+        const auto ahead = machines_.move_time() + contact_time;
+        const auto coming = load_seen_.expected(pool.name, now, ahead);
+        const auto wanted = std::max(coming, load_of(pool.name, now).in_demand);
+        const auto blocked = blocked_.find(pool.name);
+        out[pool.name].blocked = blocked == blocked_.end() ? 0 : blocked->second;
+        out[pool.name].wanted = static_cast<std::int64_t>(headroom * static_cast<double>(wanted));
+    }
+    return out;
+}
+
+double controller::estimate_rate(const std::string& queue) const {
+    const auto at = estimate_rates_.find(queue);
+    return at == estimate_rates_.end() ? 1.0 : at->second;
+}
+
+const std::string& controller::pool_of(const job& item) const {
+    const auto* queue = table_.config().find_queue(item.queue);
+    return queue ? queue->pool : item.pool;
+}
+
+// One pass over workers and jobs for all pools.
+std::map<std::string, pool_load> controller::measure_loads() const {
+    std::map<std::string, pool_load> out;
+    for (const auto& [id, item] : workers_) {
+        if (item.draining || item.leaving || item.reserved || item.hold_unanswered)
+            continue;
+        auto& load = out[item.pool];
+        ++load.workers;
+        load.capacity += item.capacity.cpu;
+        for (const auto& [key, run] : item.runs) {
+            if (run.lasting)
+                load.capacity -= run.need.cpu;
+        }
+    }
+    const auto resting = machines_.resting();
+    for (const auto& pool : table_.config().pools)
+        out[pool.name].arriving = machines_.arriving(pool.name) + resting;
+    for (const auto& [id, item] : table_.open_jobs()) {
+        if (!item->ended() && !item->lasting() && item->spec.times == 0)
+            add_job_load(*item, out[pool_of(*item)]);
+    }
+    return out;
+}
+
+const pool_load& controller::load_of(const std::string& pool, time_ms now) {
+    if (now - loads_measured_at_ >= load_age_limit || loads_.empty()) {
+        loads_ = measure_loads();
+        loads_measured_at_ = now;
+    }
+    return loads_[pool];
+}
+
+void controller::add_job_load(const job& item, pool_load& load) const {
+    const auto rate = estimate_rate(item.queue);
+    for (const auto& in : item.occurrences) {
+        for (std::size_t i = 0; i < in.steps.size(); ++i) {
+            const auto& spec = item.spec.steps[i];
+            const auto& progress = in.steps[i];
+            load.waiting_work += static_cast<std::int64_t>(
+                rate * static_cast<double>(progress.waiting * spec.need.cpu * spec.estimate));
+            if (dependencies_done(item.spec, in, i))
+                load.in_demand += (spec.count - progress.done) * spec.need.cpu;
+        }
+    }
+}
+
+admission controller::consider(const queue_config& queue, const job_spec& spec, time_ms now) {
+    load_of(queue.pool, now);
+    auto& load = loads_[queue.pool];
+    const auto rate = estimate_rate(queue.name);
+    admission_input input;
+    input.chain = longest_chain(spec, rate);
+    input.target_latency = queue.target_latency;
+    input.stretch = queue.stretch;
+    input.lasting = std::ranges::any_of(spec.steps, &step_spec::lasting);
+    input.scheduled = spec.times > 0;
+    input.wait = expected_wait(load, machines_.move_time());
+    const auto decision = admit(input);
+    // Counts until the load is measured again.
+    if (decision.accepted && !input.lasting && !input.scheduled)
+        load.waiting_work += estimated_work(spec, rate);
+    return decision;
+}
+
+time_ms expected_wait(const pool_load& load, time_ms move_time) {
+    // Nothing is known of the workers yet, or all are gone: the work waits for them.
+    constexpr time_ms unknown_wait{60'000};
+    const auto before = load.capacity * move_time;
+    if (load.waiting_work <= before && load.capacity > 0)
+        return load.waiting_work / load.capacity;
+    const auto later = load.capacity + load.arriving;
+    if (later <= 0)
+        return load.waiting_work > 0 ? unknown_wait : 0;
+    return move_time + (load.waiting_work - before) / later;
+}
+
+std::size_t controller::pending(const std::string& queue) const {
+    std::size_t out = 0;
+    for (const auto& [id, open] : table_.open_jobs()) {
+        const auto& item = *open;
+        out += item.queue == queue && item.state == job_state::queued ? 1U : 0U;
+    }
+    return out;
+}
+
+} // namespace clementine::workload
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -340,6 +340,7 @@
     out.u32(item.attempts);
     out.u8(static_cast<std::uint8_t>(item.state));
     put(out, item.accepted_at);
+    put(out, item.begun_at);
     put(out, item.ended_at);
     write_list(out, item.occurrences, [&](const occurrence& in) {
         write_list(out, in.steps, [&](const step_progress& step) {
@@ -371,6 +372,7 @@
     out.attempts = in.u32();
     out.state = static_cast<job_state>(in.u8());
     out.accepted_at = take_time(in);
+    out.begun_at = take_time(in);
     out.ended_at = take_time(in);
     read_list(in, [&] {
         occurrence item;
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -13,14 +13,14 @@
     return out;
 }
 
-bool dependencies_done(const job_spec& spec, const occurrence& in, std::uint32_t step) {
+} // namespace
+
+bool dependencies_done(const job_spec& spec, const occurrence& in, std::size_t step) {
     return std::ranges::all_of(spec.steps[step].depends_on, [&](std::uint32_t earlier) {
         return in.steps[earlier].done == spec.steps[earlier].count;
     });
 }
 
-} // namespace
-
 std::uint32_t occurrence_count(const job_spec& spec) {
     return std::max<std::uint32_t>(1, spec.times);
 }
@@ -116,6 +116,8 @@
     item->fence = term_;
     --in.steps[op.task.step].waiting;
     owner->state = job_state::active;
+    if (owner->begun_at == 0)
+        owner->begun_at = now_;
     return true;
 }
 
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -57,6 +57,7 @@
     std::uint32_t attempts = 1;
     job_state state = job_state::queued;
     time_ms accepted_at{0}; // wall clock of the leader
+    time_ms begun_at{0};    // first start, on the wall clock of the leader; 0 before
     time_ms ended_at{0};    // wall clock of the leader; 0 while not ended
     std::vector<occurrence> occurrences;
     std::uint32_t occurrences_done = 0;
@@ -190,6 +191,8 @@
     std::uint64_t term_ = 0; // of the command that is applied
 };
 
+// True if all steps that a step waits for are done.
+bool dependencies_done(const job_spec& spec, const occurrence& in, std::size_t step);
 // Occurrences that a job has: `times`, or one.
 std::uint32_t occurrence_count(const job_spec& spec);
 
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -17,6 +17,10 @@
 // A worker's clock may be this much slower than ours.
 inline constexpr double slow_clock_rate = 0.98;
 
+// From this many workers on, answers and decisions are gathered for some ms, because each costs
+// more.
+inline constexpr std::size_t many_workers = 100;
+
 enum class run_stage {
     logging,   // the start is not committed yet
     ordered,   // the order is under way, or went unanswered
