Give the place of a lost voter to its successor also when all places are taken

Test: lost_disk_is_replaced_among_spares failed first. Ruled out: the three seeds of a deployment that tolerates one loss; there the old identity was removed before.

--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -318,7 +318,7 @@
         if (replace_old_id(node, id))
             return;
         const auto* known = status.membership.find(id);
-        if (!known && status.membership.members.size() >= settings_.max_voters) {
+        if (!known && !has_place_for(node)) {
             ++it; // a spare
             continue;
         }
@@ -339,6 +339,17 @@
     remove_silent_voter();
 }
 
+// Members that are lost make room for others at once; they are removed once those are voters.
+bool log_node::has_place_for(const std::string& node) const {
+    const auto& members = core_->members().members;
+    if (std::ranges::find(members, node, &consensus::member::node) != members.end())
+        return true;
+    const auto lost = std::ranges::count_if(silent_since_, [this](const auto& item) {
+        return clock_.now() - item.second >= replaced_voter_limit;
+    });
+    return members.size() < settings_.max_voters + static_cast<std::size_t>(lost);
+}
+
 // A node that joins under a new id has lost the disk of its older ids.
 bool log_node::replace_old_id(const std::string& node, consensus::replica_id id) {
     for (const auto& item : core_->members().members) {
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -100,6 +100,7 @@
     void finish(const consensus::ready& work);
     void snapshot_if_due();
     void advance_membership();
+    bool has_place_for(const std::string& node) const;
     bool replace_old_id(const std::string& node, consensus::replica_id id);
     void remove_silent_voter();
     void fail(const std::string& reason);
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -32,6 +32,7 @@
 class cluster_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(cluster_test);
     CPPUNIT_TEST(whole_path);
+    CPPUNIT_TEST(lost_disk_is_replaced_among_spares);
     CPPUNIT_TEST(entry_without_links_is_not_ready);
     CPPUNIT_TEST_SUITE_END();
 
@@ -41,6 +42,7 @@
     users_platform::protocol protocol_;
     std::map<int, std::unique_ptr<job_control>> nodes_;
     std::vector<std::unique_ptr<job_control>> retired_;
+    std::size_t tolerated_losses_ = 1;
 
     static std::string folder(int node) {
         return std::string(TEST_DATA_FOLDER) + "/" + std::to_string(node);
@@ -55,6 +57,7 @@
         settings.folder = folder(node);
         settings.seeds = {address(1, links_port), address(2, links_port), address(3, links_port)};
         settings.first_start = first_start;
+        settings.tolerated_losses = tolerated_losses_;
         nodes_[node] =
             std::make_unique<job_control>(loop_, settings, protocol_, files_, clock_,
                                           [](const std::string& reason) { CPPUNIT_FAIL(reason); });
@@ -226,6 +229,40 @@
         run_for(200);
     }
 
+    void kill_node(int node) {
+        nodes_.at(node)->stop();
+        retired_.push_back(std::move(nodes_.at(node)));
+        nodes_.erase(node);
+    }
+
+    // Six nodes, five voters, two may be lost. The identity of a lost disk kept its place among the
+    // voters, because no further node was let in: two more losses then stopped the cluster for good.
+    void lost_disk_is_replaced_among_spares() {
+        tolerated_losses_ = 2;
+        for (int node = 1; node <= 6; ++node) {
+            std::filesystem::create_directories(folder(node));
+            start_node(node, true);
+        }
+        CPPUNIT_ASSERT(wait_for([&] { return configure(1, configuration(5)) == 200; }));
+        run_for(2'500);
+        kill_node(2);
+        std::filesystem::remove_all(folder(2));
+        std::filesystem::create_directories(folder(2));
+        run_for(500);
+        start_node(2, false);
+        run_for(4'000); // a lost disk counts again after this time
+        kill_node(1);
+        kill_node(3);
+        CPPUNIT_ASSERT_EQUAL(
+            configuration(5),
+            call_until(address(2, control_port), {"GET", "/clementineroad/config", {}, {}}, 200)
+                .body);
+        CPPUNIT_ASSERT(wait_for([&] { return configure(4, configuration(6)) == 200; }));
+        for (auto& [number, node] : nodes_)
+            node->stop();
+        run_for(200);
+    }
+
     // An entry node that was cut off stayed in rotation and failed its callers for seconds.
     void entry_without_links_is_not_ready() {
         job_entry_settings settings;
