Soak of the real programs as processes; room for lasting tasks in a full pool

Cause: short tasks took each bit of a full pool that became free, so that a lasting task could wait without end. Test: lasting_tasks_get_room_in_a_full_pool failed first. Change: the worker with the most room to win is kept from short tasks meanwhile.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SECONDS_LIMIT ?= 20
 SECONDS ?= $(SECONDS_LIMIT)
 
-.PHONY: all deps build test lint format sanitize bench bench-time soak demo generate clean
+.PHONY: all deps build test lint format sanitize bench bench-time soak process-soak demo generate clean
 
 all: build
 
@@ -43,6 +43,10 @@
 soak: build
 	@$(BUILD)/bin/soak --seed $(SEED) --seconds $(SECONDS)
 
+# Real programs as separate processes, with faults from outside.
+process-soak: build
+	@$(BUILD)/bin/process_soak --programs $(BUILD)/bin --folder $(BUILD)/process-soak --seed $(SEED) --seconds $(SECONDS)
+
 demo: build
 	@tools/demo $(BUILD)
 
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -150,6 +150,8 @@
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
     void end_life_on(const std::string& machine);
+    bool is_waiting(const ready_step& item) const;
+    static void keep_room(const ready_step& item, std::vector<worker*>& pool);
     std::int64_t share_of_worker(std::int64_t cpu) const;
     void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
     void place_advised(const ready_step& item, std::vector<worker*>& pool, time_ms now);
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -199,9 +199,41 @@
             continue;
         }
         place_advised(item, pool, now);
+        if (item.lasting && is_waiting(item))
+            keep_room(item, pool);
     }
 }
 
+// True if tasks of the step are still without a worker.
+bool controller::is_waiting(const ready_step& item) const {
+    const auto& tasks = item.owner->occurrences[item.occurrence].steps[item.step].tasks;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (tasks[i].phase == task_phase::waiting &&
+            !starting_.contains({item.owner->id, item.occurrence, item.step, i}))
+            return true;
+    }
+    return false;
+}
+
+// Takes the worker with the most room from those that short tasks may use in this round, so that
+// its room grows until a lasting task fits.
+void controller::keep_room(const ready_step& item, std::vector<worker*>& pool) {
+    const auto need = occupied(item.owner->spec.steps[item.step]);
+    auto best = pool.end();
+    for (auto at = pool.begin(); at != pool.end(); ++at) {
+        // Only what short tasks use becomes free.
+        auto possible = (*at)->capacity;
+        for (const auto& [key, run] : (*at)->runs)
+            possible -= run.lasting ? run.need : resources{};
+        if (!possible.holds(need) || (*at)->free().holds(need))
+            continue;
+        if (best == pool.end() || (*best)->free().cpu < (*at)->free().cpu)
+            best = at;
+    }
+    if (best != pool.end())
+        pool.erase(best);
+}
+
 void controller::place_advised(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
     if (item.owner->spec.steps[item.step].gang)
         place_gang(item, pool, now);
--- a/tests/jobs/standin_worker.cpp
+++ b/tests/jobs/standin_worker.cpp
@@ -59,8 +59,16 @@
     return problem;
 }
 
+boost::asio::ip::tcp::endpoint standin_worker::endpoint() const {
+    return {boost::asio::ip::make_address(options_.ip), server_->port()};
+}
+
+// Everything that runs ends with the worker.
 void standin_worker::stop() {
     stopped_ = true;
+    for (const auto& [task, item] : runs_)
+        options_.ended(task, "gone");
+    runs_.clear();
     timer_.cancel();
     server_->stop();
     for (const auto& item : controls_)
@@ -71,7 +79,9 @@
 void standin_worker::announce() {
     announced_at_ = now();
     const json::object body{{"Service", options_.pool},
-                            {"Address", options_.ip + ":" + std::to_string(server_->port())},
+                            {"Address", announced_.empty()
+                                            ? options_.ip + ":" + std::to_string(server_->port())
+                                            : announced_},
                             {"Zone", "z"},
                             {"State", "ready"},
                             {"Capacity", json::object{{"Cpu", 4000}, {"MemMb", 4096}, {"Gpu", 0}}},
@@ -121,6 +131,7 @@
     const auto at = runs_.find(task);
     if (at == runs_.end())
         return;
+    options_.ended(task, how);
     ended_.push_back({++last_end_, task, at->second.number, how});
     barred_[task] = std::max(barred_[task], at->second.number);
     runs_.erase(at);
@@ -168,6 +179,7 @@
     const std::string payload(body.at("Spec").as_string());
     runs_[task] = {number, now(), std::atol(payload.c_str()), payload == "fails"};
     ++starts_[task];
+    options_.began(task);
     return status_ok;
 }
 
--- a/tests/jobs/standin_worker.h
+++ b/tests/jobs/standin_worker.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,6 +22,10 @@
     std::string pool;
     std::string ip = "127.0.0.1";
     std::vector<std::string> controls; // IP:port of the control nodes
+    // Called when a run begins, and when it ends, with how it ended.
+    std::function<void(const std::string& task)> began = [](const std::string&) {};
+    std::function<void(const std::string& task, const std::string& how)> ended =
+        [](const std::string&, const std::string&) {};
 };
 
 class standin_worker {
@@ -34,6 +39,9 @@
     // Empty, or why it cannot listen.
     std::string start();
     void stop();
+    // Announces another address than its own from now on, such as that of a relay.
+    void announce_as(std::string address) { announced_ = std::move(address); }
+    boost::asio::ip::tcp::endpoint endpoint() const;
     // Runs that were started, by task.
     const std::map<std::string, int>& starts() const { return starts_; }
     std::size_t running() const { return runs_.size(); }
@@ -85,6 +93,7 @@
     std::size_t next_control_ = 0;
     std::int64_t sequence_ = 0;
     std::int64_t born_ = 0;
+    std::string announced_; // empty: its own address
     bool stopped_ = false;
 };
 
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(serves_jobs_of_several_steps);
     CPPUNIT_TEST(lasting_tasks_bring_machines_back_from_rest);
+    CPPUNIT_TEST(lasting_tasks_get_room_in_a_full_pool);
     CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_away);
     CPPUNIT_TEST(wave_is_done_in_time);
     CPPUNIT_TEST(wave_is_not_done_while_machines_are_not_listed);
@@ -70,6 +71,26 @@
         assert_clean(fleet);
     }
 
+    // Short tasks take each bit of room that becomes free, so that none is ever large enough.
+    void lasting_tasks_get_room_in_a_full_pool() {
+        fleet_options options;
+        options.machine_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(2'500);
+        bool submitted = false;
+        for (int i = 0; i < 400; ++i) {
+            fleet.submit("qa", id_of(i), one_step(make_step(6, 900, 700 + i % 7 * 60)));
+            if (i == 150)
+                submitted =
+                    fleet.submit("qa", id_of(9'999), one_step(make_lasting_step(2, 9'000, 1)));
+            fleet.run_for(25);
+        }
+        CPPUNIT_ASSERT(submitted);
+        CPPUNIT_ASSERT_EQUAL(
+            0U, fleet.table().find_job(id_of(9'999))->occurrences[0].steps[0].waiting);
+        assert_clean(fleet);
+    }
+
     // A rack goes dark: its tasks are away, although the last list named them as at work. Ending
     // another task of the step then makes two away where one may be.
     void upkeep_counts_tasks_on_silent_workers_as_away() {
