--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -86,8 +86,8 @@
             fleet.run_for(25);
         }
         CPPUNIT_ASSERT(submitted);
-        CPPUNIT_ASSERT_EQUAL(
-            0U, fleet.table().find_job(id_of(9'999))->occurrences[0].steps[0].waiting);
+        CPPUNIT_ASSERT_EQUAL(0U,
+                             fleet.table().find_job(id_of(9'999))->occurrences[0].steps[0].waiting);
         assert_clean(fleet);
     }
 
