--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -1,5 +1,5 @@
 // Decisions on jobs at the size of the grown deployments: two queues surge in turn over 350
-// machines, with and without machine orders. Figures are in virtual time, but for the cost of a
+// VMs, with and without VM orders. Figures are in virtual time, but for the cost of a
 // decision round, which is printed and not bounded.
 #include "base/hash.h"
 #include "workload/fake_fleet.h"
@@ -33,11 +33,11 @@
 
 // Up to 75 jobs a second in the queue whose turn it is, rising and falling within the turn, and a
 // twentieth of that in the other.
-figures play(bool machine_orders) {
+figures play(bool vm_orders) {
     fleet_options options;
     options.pools = {{"a", workers_each}, {"b", workers_each}};
-    options.standby_machines = resting;
-    options.machine_orders = machine_orders;
+    options.standby_vms = resting;
+    options.vm_orders = vm_orders;
     fake_fleet fleet(options);
     fleet.run_for(8'000);
     job_spec spec;
@@ -90,7 +90,7 @@
               << hash64(std::to_string(moving.served) + "-" + std::to_string(moving.on_time) + "-" +
                         std::to_string(fixed.on_time))
               << std::dec << '\n';
-    std::cerr << "decision round at 350 machines: " << moving.round_us << " us\n";
+    std::cerr << "decision round at 350 VMs: " << moving.round_us << " us\n";
     const bool ok =
         moving.violations == 0 && fixed.violations == 0 && moving.on_time > fixed.on_time;
     if (!ok)
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -144,9 +144,9 @@
         return problem;
     for (const auto& seed : settings_.seeds)
         links_->connect(seed);
-    if (!settings_.machines.empty())
-        machines_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.machines),
-                                                order_connections);
+    if (!settings_.vms.empty())
+        vms_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.vms),
+                                           order_connections);
     // The service takes one call of a node at a time.
     if (!settings_.advice.empty())
         advice_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.advice), 1);
@@ -218,8 +218,8 @@
         pools.holds->stop();
         pools.orders->stop();
     }
-    if (machines_)
-        machines_->stop();
+    if (vms_)
+        vms_->stop();
     if (advice_)
         advice_->stop();
     log_->stop();
@@ -584,7 +584,7 @@
 void job_control::handle(const start_wave& request, std::uint64_t id, const reply_handler& reply) {
     log_event(log_level::info, "wave_ordered")
         .field("wave", request.order.number)
-        .field("machines", std::uint64_t{request.order.machines.size()})
+        .field("vms", std::uint64_t{request.order.vms.size()})
         .field("cap", request.order.cap);
     propose({put_wave{request.order}}, [this, reply, id](const outcome& result) {
         if (!result)
@@ -710,9 +710,9 @@
 }
 
 void job_control::send(order value) {
-    if (std::holds_alternative<list_machines_order>(value) ||
+    if (std::holds_alternative<list_vms_order>(value) ||
         std::holds_alternative<move_order>(value) || std::holds_alternative<upkeep_order>(value))
-        return send_machine_order(std::move(value), {}, {});
+        return send_vm_order(std::move(value), {}, {});
     if (std::holds_alternative<advise_order>(value))
         return send_advise_order(std::move(value));
     const auto encoded = protocol_.encode_order(value, settings_.node, {});
@@ -758,30 +758,28 @@
     return result;
 }
 
-void job_control::send_machine_order(order value, const std::string& page,
-                                     std::vector<machine_report> machines) {
-    if (!machines_)
+void job_control::send_vm_order(order value, const std::string& page, std::vector<vm_report> vms) {
+    if (!vms_)
         return;
     const auto encoded = protocol_.encode_order(value, settings_.node, page);
-    machines_->request(
-        {encoded.method, encoded.target, encoded.headers, encoded.body}, order_limit,
-        [this, value = std::move(value),
-         machines = std::move(machines)](const http_result& exchange) mutable {
-            order_result result;
-            if (exchange.failure)
-                result.answer = *exchange.failure == call_failure::refused
-                                    ? order_answer::not_sent
-                                    : order_answer::no_answer;
-            else
-                result = protocol_.decode_answer(value, exchange.status, exchange.body);
-            machines.insert(machines.end(), result.machines.begin(), result.machines.end());
-            if (result.answer == order_answer::done && !result.next_page.empty())
-                return send_machine_order(std::move(value), result.next_page, std::move(machines));
-            result.machines = std::move(machines);
-            metrics_.add("clementine_platform_calls",
-                         {{"answer", std::string(to_name(result.answer))}});
-            observe(value, result, exchange);
-        });
+    vms_->request({encoded.method, encoded.target, encoded.headers, encoded.body}, order_limit,
+                  [this, value = std::move(value),
+                   vms = std::move(vms)](const http_result& exchange) mutable {
+                      order_result result;
+                      if (exchange.failure)
+                          result.answer = *exchange.failure == call_failure::refused
+                                              ? order_answer::not_sent
+                                              : order_answer::no_answer;
+                      else
+                          result = protocol_.decode_answer(value, exchange.status, exchange.body);
+                      vms.insert(vms.end(), result.vms.begin(), result.vms.end());
+                      if (result.answer == order_answer::done && !result.next_page.empty())
+                          return send_vm_order(std::move(value), result.next_page, std::move(vms));
+                      result.vms = std::move(vms);
+                      metrics_.add("clementine_platform_calls",
+                                   {{"answer", std::string(to_name(result.answer))}});
+                      observe(value, result, exchange);
+                  });
 }
 
 void job_control::observe(const order& value, const order_result& result,
@@ -804,7 +802,7 @@
     else if (const auto* upkeep = std::get_if<upkeep_order>(&value))
         controller_.observe(*upkeep, result.answer, now);
     else
-        controller_.observe(result.machines, result.answer, now);
+        controller_.observe(result.vms, result.answer, now);
     request_round();
 }
 
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -24,12 +24,12 @@
 namespace clementine::control {
 
 struct job_control_settings {
-    std::string node;     // name of this node, holder of machine orders
-    std::string links;    // IP:port for links between nodes
-    std::string listen;   // IP:port for operators and workers
-    std::string admin;    // IP:port for metrics
-    std::string machines; // IP:port of the platform's machine API; empty: none
-    std::string advice;   // IP:port of the placement advice service; empty: none
+    std::string node;   // name of this node, holder of VM orders
+    std::string links;  // IP:port for links between nodes
+    std::string listen; // IP:port for operators and workers
+    std::string admin;  // IP:port for metrics
+    std::string vms;    // IP:port of the platform's VM API; empty: none
+    std::string advice; // IP:port of the placement advice service; empty: none
     std::string availability_zone;
     std::string folder;
     std::vector<std::string> seeds; // link addresses of some control nodes
@@ -116,8 +116,8 @@
     void send(workload::order value);
     void send_advise_order(workload::order value);
     workload::order_result decode(const workload::order& value, const http_result& exchange) const;
-    void send_machine_order(workload::order value, const std::string& page,
-                            std::vector<workload::machine_report> machines);
+    void send_vm_order(workload::order value, const std::string& page,
+                       std::vector<workload::vm_report> vms);
     void observe(const workload::order& value, const workload::order_result& result,
                  const http_result& exchange);
     http_pool& pool_for(const std::string& address, bool hold);
@@ -136,7 +136,7 @@
     std::unique_ptr<log_node> log_;
     std::shared_ptr<http_server> server_;
     std::shared_ptr<http_server> admin_;
-    std::shared_ptr<http_pool> machines_;
+    std::shared_ptr<http_pool> vms_;
     std::shared_ptr<http_pool> advice_;
     struct worker_pools {
         std::shared_ptr<http_pool> holds;
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -18,7 +18,7 @@
 constexpr time_ms review_interval{40};
 // A worker that has not announced itself for this long is dropped once its leases are over.
 constexpr time_ms silent_worker_limit{20'000};
-constexpr time_ms machine_plan_interval{100};
+constexpr time_ms vm_plan_interval{100};
 // Leases of an earlier leader end after this time: on a clock that is 2% slow, and granted by an
 // estimate of that clock that was up to 2% of a 2 s pause ahead.
 constexpr time_ms inherited_lease{
@@ -31,7 +31,7 @@
 } // namespace
 
 controller::controller(const job_table& table, controller_settings settings)
-    : table_(table), settings_(std::move(settings)), machines_(table, settings_.machines) {}
+    : table_(table), settings_(std::move(settings)), vms_(table, settings_.vms) {}
 
 void controller::lead(std::uint64_t fence, time_ms now, time_ms wall) {
     stop_leading();
@@ -39,7 +39,7 @@
     lead_since_ = now;
     inherit_runs(now);
     inherit_load(now, wall);
-    machines_.lead(fence, now, wall);
+    vms_.lead(fence, now, wall);
 }
 
 void controller::stop_leading() {
@@ -159,7 +159,7 @@
     item.sequence = report.sequence;
     item.pool = report.pool;
     item.address = report.address;
-    item.zone = report.zone;
+    item.availability_zone = report.availability_zone;
     item.kind = label_at(report.labels, 0);
     item.rack = label_at(report.labels, 1);
     item.capacity = report.capacity;
@@ -185,30 +185,29 @@
     at->second.next_hold_at = now;
 }
 
-void controller::end_life_on(const std::string& machine) {
-    const auto at = workers_.find(machines_.worker_on(machine));
+void controller::end_life_on(const std::string& vm) {
+    const auto at = workers_.find(vms_.worker_on(vm));
     if (at == workers_.end())
         return;
     ended_lives_.insert(at->second.ref);
-    forget_life(at->second, "machine ordered away");
+    forget_life(at->second, "VM ordered away");
     drop_worker(std::string(at->first));
 }
 
 void controller::observe(const move_order& order, order_answer answer, time_ms now) {
-    if (order.fence == fence_ && machines_.observe(order, answer, now))
-        end_life_on(order.machine);
+    if (order.fence == fence_ && vms_.observe(order, answer, now))
+        end_life_on(order.vm);
 }
 
 void controller::observe(const upkeep_order& order, order_answer answer, time_ms now) {
-    if (order.fence != fence_ || !machines_.observe(order, answer, now))
+    if (order.fence != fence_ || !vms_.observe(order, answer, now))
         return;
-    end_life_on(order.machine);
-    out_.log.emplace_back(mark_upkeep{order.wave, order.machine, upkeep_phase::done});
+    end_life_on(order.vm);
+    out_.log.emplace_back(mark_upkeep{order.wave, order.vm, upkeep_phase::done});
 }
 
-void controller::observe(const std::vector<machine_report>& machines, order_answer answer,
-                         time_ms now) {
-    machines_.observe(machines, answer, now);
+void controller::observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now) {
+    vms_.observe(vms, answer, now);
 }
 
 // Lives whose leases are over can have no runs any more.
@@ -269,9 +268,9 @@
         for (auto& [id, item] : workers_)
             review_runs(item, now);
     }
-    if (now - machines_planned_at_ >= machine_plan_interval) {
-        machines_planned_at_ = now;
-        machines_.decide(workers_, measure_demand(now), now, wall, out_.log, out_.orders);
+    if (now - vms_planned_at_ >= vm_plan_interval) {
+        vms_planned_at_ = now;
+        vms_.decide(workers_, measure_demand(now), now, wall, out_.log, out_.orders);
     }
     place(now, wall);
     issue_holds(now);
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -6,9 +6,9 @@
 #pragma once
 
 #include "workload/admission.h"
-#include "workload/machine_manager.h"
 #include "workload/offered_load.h"
 #include "workload/placement.h"
+#include "workload/vm_manager.h"
 
 #include <array>
 #include <map>
@@ -21,7 +21,7 @@
 struct controller_settings {
     time_ms stop_time{0};    // longest time that a worker takes to stop a run
     time_ms restore_time{0}; // until a task that resumes from a checkpoint is at work
-    machine_settings machines;
+    vm_settings vms;
 };
 
 // Ends up to `number` on one worker, whose operations are part of the same decisions.
@@ -39,7 +39,7 @@
 // Load of one pool, for admission and for moves.
 struct pool_load {
     std::int64_t capacity = 0;     // thousandths of a core that short tasks may use
-    std::int64_t arriving = 0;     // and of machines that are on their way, or could be
+    std::int64_t arriving = 0;     // and of VMs that are on their way, or could be
     std::int64_t waiting_work = 0; // thousandths of a core times ms of tasks that were not started
     std::int64_t in_demand = 0;    // processor of tasks that run or could run now
     std::size_t workers = 0;
@@ -56,7 +56,7 @@
     std::uint64_t silent_workers = 0;
 };
 
-// Time until work that comes now can start; `move_time` until arriving machines are there.
+// Time until work that comes now can start; `move_time` until arriving VMs are there.
 time_ms expected_wait(const pool_load& load, time_ms move_time);
 
 class controller {
@@ -82,7 +82,7 @@
                  const std::vector<placement_ticket>& tickets, time_ms valid, time_ms now);
     void observe(const move_order& order, order_answer answer, time_ms now);
     void observe(const upkeep_order& order, order_answer answer, time_ms now);
-    void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
+    void observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now);
     // A job was offered, whether it is taken or not.
     void offered(const queue_config& queue, const std::string& id, const job_spec& spec,
                  time_ms now);
@@ -149,7 +149,7 @@
     void place(time_ms now, time_ms wall);
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
-    void end_life_on(const std::string& machine);
+    void end_life_on(const std::string& vm);
     bool is_waiting(const ready_step& item) const;
     static void keep_room(const ready_step& item, std::vector<worker*>& pool);
     std::int64_t share_of_worker(std::int64_t cpu) const;
@@ -178,10 +178,10 @@
     std::map<std::string, double> estimate_rates_; // by queue: actual time for a ms of estimate
     std::map<std::string, pool_load> loads_;
     time_ms loads_measured_at_{0};
-    std::set<worker_ref> ended_lives_; // their machines were ordered away
+    std::set<worker_ref> ended_lives_; // their VMs were ordered away
     offered_load load_seen_;
-    machine_manager machines_;
-    time_ms machines_planned_at_{0};
+    vm_manager vms_;
+    time_ms vms_planned_at_{0};
     time_ms reviewed_at_{0};
     controller_counters counters_;
     decisions out_;
--- a/src/workload/controller_loads.cpp
+++ b/src/workload/controller_loads.cpp
@@ -36,14 +36,14 @@
         load_seen_.offered(queue.pool, id, estimated_work(spec, estimate_rate(queue.name)), now);
 }
 
-// Load patterns: see offered_load.h and machine_manager.h.
+// Load patterns: see offered_load.h and vm_manager.h.
 std::map<std::string, pool_demand> controller::measure_demand(time_ms now) {
     // Room for uneven packing of tasks on workers.
     constexpr double headroom = 1.2;
     constexpr time_ms contact_time{300};
     std::map<std::string, pool_demand> out;
     for (const auto& pool : table_.config().pools) {
-        const auto ahead = machines_.move_time() + contact_time;
+        const auto ahead = vms_.move_time() + contact_time;
         const auto coming = load_seen_.expected(pool.name, now, ahead);
         const auto wanted = std::max(coming, load_of(pool.name, now).in_demand);
         const auto blocked = blocked_.find(pool.name);
@@ -77,9 +77,9 @@
                 load.capacity -= run.need.cpu;
         }
     }
-    const auto resting = machines_.resting();
+    const auto resting = vms_.resting();
     for (const auto& pool : table_.config().pools)
-        out[pool.name].arriving = machines_.arriving(pool.name) + resting;
+        out[pool.name].arriving = vms_.arriving(pool.name) + resting;
     for (const auto& [id, item] : table_.open_jobs()) {
         if (!item->ended() && !item->lasting() && item->spec.times == 0)
             add_job_load(*item, out[pool_of(*item)]);
@@ -119,7 +119,7 @@
     input.stretch = queue.stretch;
     input.lasting = std::ranges::any_of(spec.steps, &step_spec::lasting);
     input.scheduled = spec.times > 0;
-    input.wait = expected_wait(load, machines_.move_time());
+    input.wait = expected_wait(load, vms_.move_time());
     const auto decision = admit(input);
     // Counts until the load is measured again.
     if (decision.accepted && !input.lasting && !input.scheduled)
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -330,8 +330,8 @@
     if (!leading())
         return;
     for (std::size_t i = 0; i < done.log.size(); ++i) {
-        if (const auto* announced = std::get_if<order_machine>(&done.log[i]))
-            machines_.committed(*announced, now, out_.orders);
+        if (const auto* announced = std::get_if<order_vm>(&done.log[i]))
+            vms_.committed(*announced, now, out_.orders);
         const auto* start = std::get_if<start_run>(&done.log[i]);
         if (!start)
             continue;
--- a/src/workload/fleet_protocol.h
+++ b/src/workload/fleet_protocol.h
@@ -38,10 +38,10 @@
 struct order_result {
     order_answer answer = order_answer::invalid;
     worker_lists lists;                    // of a hold
-    std::vector<machine_report> machines;  // of a list of machines
+    std::vector<vm_report> vms;            // of a list of VMs
     std::vector<placement_ticket> tickets; // of the advice service
     time_ms tickets_valid{0};
-    std::string next_page; // of a list of machines; empty: that was all
+    std::string next_page; // of a list of VMs; empty: that was all
 };
 
 // Requests to the control nodes, decoded.
@@ -86,7 +86,7 @@
     virtual std::string encode_job_state(job_state state) const = 0;
     virtual std::string encode_pending(std::size_t jobs) const = 0;
     virtual std::string encode_wave_state(bool completed) const = 0;
-    // `holder` names the node that gives orders about machines.
+    // `holder` names the node that gives orders about VMs.
     virtual encoded_order encode_order(const order& value, const std::string& holder,
                                        const std::string& page) const = 0;
     virtual order_result decode_answer(const order& value, unsigned status,
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -194,7 +194,7 @@
 
 void put(writer& out, const wave_order& value) {
     out.u64(value.number);
-    write_list(out, value.machines, [&](const std::string& machine) { out.text(machine); });
+    write_list(out, value.vms, [&](const std::string& vm) { out.text(vm); });
     put(out, value.duration);
     out.u32(value.cap);
 }
@@ -202,7 +202,7 @@
 wave_order take_wave_order(reader& in) {
     wave_order out;
     out.number = in.u64();
-    read_list(in, [&] { out.machines.push_back(in.text()); });
+    read_list(in, [&] { out.vms.push_back(in.text()); });
     out.duration = take_time(in);
     out.cap = in.u32();
     return out;
@@ -243,11 +243,11 @@
 }
 void put(writer& out, const mark_upkeep& op) {
     out.u64(op.wave);
-    out.text(op.machine);
+    out.text(op.vm);
     out.u8(static_cast<std::uint8_t>(op.phase));
 }
-void put(writer& out, const order_machine& op) {
-    out.text(op.machine);
+void put(writer& out, const order_vm& op) {
+    out.text(op.vm);
     out.text(op.node);
 }
 
@@ -294,13 +294,13 @@
     case 7: {
         mark_upkeep op;
         op.wave = in.u64();
-        op.machine = in.text();
+        op.vm = in.text();
         op.phase = static_cast<upkeep_phase>(in.u8());
         return op;
     }
     case 8: {
-        order_machine op;
-        op.machine = in.text();
+        order_vm op;
+        op.vm = in.text();
         op.node = in.text();
         return op;
     }
@@ -429,9 +429,9 @@
     write_list(out, waves_, [&](const auto& item) {
         put(out, item.second.order);
         put(out, item.second.accepted_at);
-        write_list(out, item.second.machines, [&](const auto& machine) {
-            out.text(machine.first);
-            out.u8(static_cast<std::uint8_t>(machine.second));
+        write_list(out, item.second.vms, [&](const auto& vm) {
+            out.text(vm.first);
+            out.u8(static_cast<std::uint8_t>(vm.second));
         });
     });
     return out.take();
@@ -471,8 +471,8 @@
             item.order = take_wave_order(in);
             item.accepted_at = take_time(in);
             read_list(in, [&] {
-                auto machine = in.text();
-                item.machines[std::move(machine)] = static_cast<upkeep_phase>(in.u8());
+                auto vm = in.text();
+                item.vms[std::move(vm)] = static_cast<upkeep_phase>(in.u8());
             });
             const auto number = item.order.number;
             loaded.waves_.emplace(number, std::move(item));
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -30,7 +30,7 @@
 }
 
 bool wave::completed() const {
-    return std::ranges::all_of(machines,
+    return std::ranges::all_of(vms,
                                [](const auto& item) { return item.second == upkeep_phase::done; });
 }
 
@@ -209,8 +209,8 @@
         return true;
     at->second.order = op.order;
     at->second.accepted_at = now_;
-    for (const auto& machine : op.order.machines)
-        at->second.machines[machine] = upkeep_phase::due;
+    for (const auto& vm : op.order.vms)
+        at->second.vms[vm] = upkeep_phase::due;
     return true;
 }
 
@@ -218,15 +218,15 @@
     const auto at = waves_.find(op.wave);
     if (at == waves_.end())
         return false;
-    const auto machine = at->second.machines.find(op.machine);
-    if (machine == at->second.machines.end() || machine->second == upkeep_phase::done)
+    const auto vm = at->second.vms.find(op.vm);
+    if (vm == at->second.vms.end() || vm->second == upkeep_phase::done)
         return false;
-    machine->second = op.phase;
+    vm->second = op.phase;
     return true;
 }
 
-bool job_table::on(const order_machine& op) {
-    holders_[op.machine] = {op.node, now_};
+bool job_table::on(const order_vm& op) {
+    holders_[op.vm] = {op.node, now_};
     return true;
 }
 
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -1,4 +1,4 @@
-// Replicated state of the workload: configuration, jobs, runs, waves and the holder of machine
+// Replicated state of the workload: configuration, jobs, runs, waves and the holder of VM
 // orders. Deterministic: the same commands give the same state on every replica.
 #pragma once
 
@@ -71,13 +71,13 @@
 struct wave {
     wave_order order;
     time_ms accepted_at{0}; // wall clock of the leader
-    std::map<std::string, upkeep_phase> machines;
+    std::map<std::string, upkeep_phase> vms;
 
     bool completed() const;
 };
 
-// The node that gave the last order about a machine.
-struct machine_holder {
+// The node that gave the last order about a VM.
+struct vm_holder {
     std::string node;
     time_ms at{0}; // wall clock of that node
 };
@@ -121,18 +121,18 @@
 };
 struct mark_upkeep {
     std::uint64_t wave = 0;
-    std::string machine;
+    std::string vm;
     upkeep_phase phase = upkeep_phase::due;
 };
-// A node is about to give an order about a machine; the order follows only once this is
-// committed, so that a later leader knows which machines had another holder a moment ago.
-struct order_machine {
-    std::string machine;
+// A node is about to give an order about a VM; the order follows only once this is
+// committed, so that a later leader knows which VMs had another holder a moment ago.
+struct order_vm {
+    std::string vm;
     std::string node;
 };
 
 using operation = std::variant<put_configuration, submit_job, cancel_job, start_run, end_run,
-                               lose_run, put_wave, mark_upkeep, order_machine>;
+                               lose_run, put_wave, mark_upkeep, order_vm>;
 
 // One log entry: operations that are applied in order.
 struct command {
@@ -156,7 +156,7 @@
     // Jobs that have not ended, and ended ones with assigned runs, by id.
     const std::map<std::string, const job*>& open_jobs() const { return open_; }
     const std::map<std::uint64_t, wave>& waves() const { return waves_; }
-    const std::map<std::string, machine_holder>& machine_holders() const { return holders_; }
+    const std::map<std::string, vm_holder>& vm_holders() const { return holders_; }
 
     std::string save() const;
     // False if the bytes are no saved state; the table is then unchanged. Empty bytes reset it.
@@ -171,7 +171,7 @@
     bool on(const lose_run& op);
     bool on(const put_wave& op);
     bool on(const mark_upkeep& op);
-    bool on(const order_machine& op);
+    bool on(const order_vm& op);
 
     task* task_of(const task_id& id, job** owner);
     void finish_task(job& owner, const task_id& id);
@@ -186,7 +186,7 @@
     std::map<std::string, const job*> open_; // into `jobs_`, whose nodes stay where they are
     std::map<time_ms, std::vector<std::string>> ended_; // by end time
     std::map<std::uint64_t, wave> waves_;
-    std::map<std::string, machine_holder> holders_;
+    std::map<std::string, vm_holder> holders_;
     time_ms now_{0};         // of the command that is applied
     std::uint64_t term_ = 0; // of the command that is applied
 };
--- a/src/workload/offered_load.h
+++ b/src/workload/offered_load.h
@@ -1,7 +1,7 @@
 // Measures the work that is offered to each pool, taken or refused, and where it is going.
 //
 // Load pattern: a queue rises from a twentieth to four times its mean within some 3 s and falls
-// again as fast. A machine that is to help must be ordered before it is needed.
+// again as fast. A VM that is to help must be ordered before it is needed.
 #pragma once
 
 #include "base/clock.h"
--- a/src/workload/orders.h
+++ b/src/workload/orders.h
@@ -60,24 +60,24 @@
     std::uint64_t fence = 0;
 };
 
-struct list_machines_order {};
+struct list_vms_order {};
 
-// Moves a machine to another pool; what runs on it ends at once.
+// Moves a VM to another pool; what runs on it ends at once.
 struct move_order {
-    std::string machine;
+    std::string vm;
     std::string pool;
     std::uint64_t fence = 0;
 };
 
-// Takes a machine down for upkeep; what runs on it ends at once.
+// Takes a VM down for upkeep; what runs on it ends at once.
 struct upkeep_order {
-    std::string machine;
+    std::string vm;
     std::uint64_t wave = 0;
     std::uint64_t fence = 0;
 };
 
 using order = std::variant<start_order, stop_order, hold_order, pace_order, advise_order,
-                           list_machines_order, move_order, upkeep_order>;
+                           list_vms_order, move_order, upkeep_order>;
 
 // A worker that may run a step, with the proof that its start needs.
 struct placement_ticket {
@@ -96,8 +96,8 @@
     no_ticket,
     unhealthy,  // the worker declined all work and has done nothing
     other_life, // another life of the worker answered
-    busy,       // the machine is not up or about to leave
-    other_wave, // the machine is not part of that wave
+    busy,       // the VM is not up or about to leave
+    other_wave, // the VM is not part of that wave
     overloaded, // too many calls to the platform
     invalid
 };
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -15,7 +15,7 @@
 // Response times suffer from each other lasting task, and from fillers.
 constexpr std::int64_t shared_with_lasting_cost = 40'000;
 constexpr std::int64_t unproven_worker_cost = 10'000;
-// A machine with lasting tasks cannot be moved, so they share as few machines as possible.
+// A VM with lasting tasks cannot be moved, so they share as few VMs as possible.
 constexpr std::int64_t first_lasting_cost = 20'000;
 // A worker that goes down takes all its tasks of a step with it.
 constexpr std::int64_t same_step_cost = 100'000;
--- a/src/workload/types.h
+++ b/src/workload/types.h
@@ -85,7 +85,7 @@
 struct pool_config {
     std::string name;
     bool rejects_overload = false; // its workers refuse what does not fit
-    bool standby = false;          // its machines are switched off
+    bool standby = false;          // its VMs are switched off
 };
 
 // The operators' configuration in force. `document` is what they sent, returned unchanged.
@@ -138,7 +138,7 @@
     worker_ref worker;
     std::string pool;
     std::string address; // IP:port
-    std::string zone;
+    std::string availability_zone;
     std::vector<std::string> labels; // the kind, then the rack
     resources capacity;
     bool draining = false;
@@ -171,27 +171,27 @@
     std::vector<ended_task> ended;
 };
 
-enum class machine_state { up, moving, upkeep, down };
+enum class vm_state { up, moving, upkeep, down };
 
-inline constexpr name_table<4> machine_state_names{"up", "moving", "upkeep", "down"};
-constexpr const auto& names_of(machine_state) {
-    return machine_state_names;
+inline constexpr name_table<4> vm_state_names{"up", "moving", "upkeep", "down"};
+constexpr const auto& names_of(vm_state) {
+    return vm_state_names;
 }
 
-// A machine of the platform and the worker that it runs now.
-struct machine_report {
-    std::string machine;
+// A VM of the platform and the worker that it runs now.
+struct vm_report {
+    std::string vm;
     std::string pool;
-    machine_state state = machine_state::down;
+    vm_state state = vm_state::down;
     std::vector<std::string> labels;
     resources capacity;
     std::string worker; // id, empty if none
 };
 
-// A wave of upkeep that operators ordered: each machine goes down once, at most `cap` at a time.
+// A wave of upkeep that operators ordered: each VM goes down once, at most `cap` at a time.
 struct wave_order {
     std::uint64_t number = 0;
-    std::vector<std::string> machines;
+    std::vector<std::string> vms;
     time_ms duration{0};
     std::uint32_t cap = 1;
 };
--- a/src/workload/machine_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -1,4 +1,4 @@
-#include "workload/machine_manager.h"
+#include "workload/vm_manager.h"
 
 #include "base/log.h"
 
@@ -21,14 +21,14 @@
 constexpr time_ms wall_clock_error{2'600};
 // An order without a clear answer is repeated after this time.
 constexpr time_ms order_retry{700};
-// A machine that is not needed goes to the standby pool after this time without work. A move and
-// the way back cost as much as 2.3 s of a machine in a pool.
+// A VM that is not needed goes to the standby pool after this time without work. A move and
+// the way back cost as much as 2.3 s of a VM in a pool.
 constexpr time_ms rest_after{1'500};
-// A machine that has just come back is reported by its worker after this time at the latest.
+// A VM that has just come back is reported by its worker after this time at the latest.
 constexpr time_ms settle_time{1'000};
-// Part of a wave's time that is used; the rest is for machines that come back late.
+// Part of a wave's time that is used; the rest is for VMs that come back late.
 constexpr double wave_time_used = 0.8;
-// A machine that the platform has not listed for this long has been taken away; crashed machines
+// A VM that the platform has not listed for this long has been taken away; crashed VMs
 // are back within 10 s.
 constexpr time_ms unlisted_limit{15'000};
 // Spare processor of a pool that is kept for stray jobs, in thousandths of a core.
@@ -57,65 +57,62 @@
     return out;
 }
 
-machine_manager::machine_manager(const job_table& table, machine_settings settings)
+vm_manager::vm_manager(const job_table& table, vm_settings settings)
     : table_(table), settings_(std::move(settings)) {}
 
-void machine_manager::lead(std::uint64_t fence, time_ms now, time_ms wall) {
+void vm_manager::lead(std::uint64_t fence, time_ms now, time_ms wall) {
     fence_ = fence;
-    machines_.clear();
+    vms_.clear();
     held_by_others_.clear();
     list_under_way_ = false;
     listed_at_ = first_listed_at_ = 0;
     list_due_at_ = now;
-    for (const auto& [machine, holder] : table_.machine_holders()) {
+    for (const auto& [vm, holder] : table_.vm_holders()) {
         const auto passed = wall - holder.at;
         const auto turn = settings_.holder_turn + wall_clock_error;
         if (holder.node != settings_.node && passed < turn)
-            held_by_others_[machine] = now + std::min(turn, turn - passed);
+            held_by_others_[vm] = now + std::min(turn, turn - passed);
     }
 }
 
 // Tells the log about an order before it is given.
-void machine_manager::announce(managed_machine& item, order value, time_ms now,
-                               std::vector<operation>& log) {
+void vm_manager::announce(managed_vm& item, order value, time_ms now, std::vector<operation>& log) {
     item.order_under_way = true;
     item.ordered_at = now;
     item.announced = std::move(value);
-    log.emplace_back(order_machine{item.report.machine, settings_.node});
+    log.emplace_back(order_vm{item.report.vm, settings_.node});
 }
 
-void machine_manager::committed(const order_machine& announced, time_ms now,
-                                std::vector<order>& orders) {
-    const auto at = machines_.find(announced.machine);
-    if (at == machines_.end() || !at->second.announced)
+void vm_manager::committed(const order_vm& announced, time_ms now, std::vector<order>& orders) {
+    const auto at = vms_.find(announced.vm);
+    if (at == vms_.end() || !at->second.announced)
         return;
     at->second.ordered_at = now;
     orders.push_back(std::move(*at->second.announced));
     at->second.announced.reset();
 }
 
-std::string machine_manager::worker_on(const std::string& machine) const {
-    const auto at = machines_.find(machine);
-    return at == machines_.end() ? std::string() : at->second.report.worker;
+std::string vm_manager::worker_on(const std::string& vm) const {
+    const auto at = vms_.find(vm);
+    return at == vms_.end() ? std::string() : at->second.report.worker;
 }
 
-void machine_manager::observe(const std::vector<machine_report>& machines, order_answer answer,
-                              time_ms now) {
+void vm_manager::observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now) {
     list_under_way_ = false;
     if (answer != order_answer::done) {
         list_due_at_ = now + list_retry;
-        log_event(log_level::warning, "machines_not_listed").field("answer", to_name(answer));
+        log_event(log_level::warning, "vms_not_listed").field("answer", to_name(answer));
         return;
     }
     listed_at_ = now;
     if (first_listed_at_ == 0)
         first_listed_at_ = now;
     list_due_at_ = now + list_interval;
-    for (const auto& report : machines) {
-        auto& item = machines_[report.machine];
+    for (const auto& report : vms) {
+        auto& item = vms_[report.vm];
         if (item.report.state != report.state || item.report.pool != report.pool)
-            log_event(log_level::info, "machine_state")
-                .field("machine", report.machine)
+            log_event(log_level::info, "vm_state")
+                .field("vm", report.vm)
                 .field("state", to_name(report.state))
                 .field("pool", report.pool)
                 .field("worker", report.worker)
@@ -123,7 +120,7 @@
         const bool busy = item.order_under_way || now - item.ordered_at < list_after_order;
         item.report = report;
         item.listed_at = now;
-        if (busy || report.state != machine_state::up)
+        if (busy || report.state != vm_state::up)
             continue;
         if (item.moving_to && report.pool == *item.moving_to)
             item.moving_to.reset();
@@ -132,12 +129,12 @@
     }
 }
 
-bool machine_manager::observe(const move_order& order, order_answer answer, time_ms now) {
-    auto& item = machines_[order.machine];
+bool vm_manager::observe(const move_order& order, order_answer answer, time_ms now) {
+    auto& item = vms_[order.vm];
     item.order_under_way = false;
     list_due_at_ = std::min(list_due_at_, now + settings_.move_time);
-    log_event(log_level::info, "machine_move")
-        .field("machine", order.machine)
+    log_event(log_level::info, "vm_move")
+        .field("vm", order.vm)
         .field("pool", order.pool)
         .field("answer", to_name(answer))
         .field("fence", order.fence);
@@ -147,16 +144,16 @@
         return false; // repeated until it is clear
     item.moving_to.reset();
     if (answer == order_answer::invalid)
-        refused_.emplace(order.machine, order.pool);
+        refused_.emplace(order.vm, order.pool);
     return false;
 }
 
-bool machine_manager::observe(const upkeep_order& order, order_answer answer, time_ms now) {
-    auto& item = machines_[order.machine];
+bool vm_manager::observe(const upkeep_order& order, order_answer answer, time_ms now) {
+    auto& item = vms_[order.vm];
     item.order_under_way = false;
     list_due_at_ = std::min(list_due_at_, now + settings_.upkeep_time);
-    log_event(log_level::info, "machine_upkeep")
-        .field("machine", order.machine)
+    log_event(log_level::info, "vm_upkeep")
+        .field("vm", order.vm)
         .field("wave", order.wave)
         .field("answer", to_name(answer))
         .field("fence", order.fence);
@@ -169,22 +166,20 @@
     return false;
 }
 
-const worker* machine_manager::worker_of(const managed_machine& item,
-                                         const worker_map& workers) const {
+const worker* vm_manager::worker_of(const managed_vm& item, const worker_map& workers) const {
     const auto at = workers.find(item.report.worker);
     return at == workers.end() ? nullptr : &at->second;
 }
 
-bool machine_manager::held_by_other(const std::string& machine, time_ms now) const {
-    const auto at = held_by_others_.find(machine);
+bool vm_manager::held_by_other(const std::string& vm, time_ms now) const {
+    const auto at = held_by_others_.find(vm);
     return at != held_by_others_.end() && now < at->second;
 }
 
-// True if nothing runs on a machine, as far as anybody knows, and nothing is about to.
-bool machine_manager::is_idle(const managed_machine& item, const worker_map& workers,
-                              time_ms now) const {
-    if (item.report.state != machine_state::up || item.order_under_way || item.moving_to ||
-        item.upkeep_wave != 0 || held_by_other(item.report.machine, now) ||
+// True if nothing runs on a VM, as far as anybody knows, and nothing is about to.
+bool vm_manager::is_idle(const managed_vm& item, const worker_map& workers, time_ms now) const {
+    if (item.report.state != vm_state::up || item.order_under_way || item.moving_to ||
+        item.upkeep_wave != 0 || held_by_other(item.report.vm, now) ||
         now - item.listed_at > 2 * list_interval)
         return false;
     if (item.report.worker.empty())
@@ -193,8 +188,8 @@
     return on && on->contacted && !on->hold_unanswered && !on->draining && on->runs.empty();
 }
 
-void machine_manager::note_idle(const worker_map& workers, time_ms now) {
-    for (auto& [name, item] : machines_) {
+void vm_manager::note_idle(const worker_map& workers, time_ms now) {
+    for (auto& [name, item] : vms_) {
         if (!is_idle(item, workers, now))
             item.idle_since = 0;
         else if (item.idle_since == 0)
@@ -202,7 +197,7 @@
     }
 }
 
-std::set<std::string> machine_manager::standby_pools() const {
+std::set<std::string> vm_manager::standby_pools() const {
     std::set<std::string> out;
     for (const auto& pool : table_.config().pools) {
         if (pool.standby)
@@ -211,40 +206,40 @@
     return out;
 }
 
-std::int64_t machine_manager::arriving(const std::string& pool) const {
+std::int64_t vm_manager::arriving(const std::string& pool) const {
     std::int64_t out = 0;
-    for (const auto& [name, item] : machines_) {
+    for (const auto& [name, item] : vms_) {
         if (item.moving_to && *item.moving_to == pool)
             out += item.report.capacity.cpu;
     }
     return out;
 }
 
-std::int64_t machine_manager::resting() const {
+std::int64_t vm_manager::resting() const {
     const auto standby = standby_pools();
     std::int64_t out = 0;
-    for (const auto& [name, item] : machines_) {
+    for (const auto& [name, item] : vms_) {
         if (item.idle_since != 0 && standby.contains(item.report.pool))
             out += item.report.capacity.cpu;
     }
     return out;
 }
 
-// A reservation ends when the machine has nothing ordered or due any more.
-void machine_manager::release_reservations(worker_map& workers) const {
+// A reservation ends when the VM has nothing ordered or due any more.
+void vm_manager::release_reservations(worker_map& workers) const {
     for (auto& [id, item] : workers) {
         item.reserved = false;
         item.upkeep_due = false;
     }
-    for (const auto& [name, item] : machines_) {
+    for (const auto& [name, item] : vms_) {
         const auto at = workers.find(item.report.worker);
         if (at != workers.end() && (item.moving_to || item.upkeep_wave != 0))
             at->second.reserved = true;
     }
     for (const auto& [number, item] : table_.waves()) {
-        for (const auto& [machine, phase] : item.machines) {
-            const auto known = machines_.find(machine);
-            if (phase == upkeep_phase::done || known == machines_.end())
+        for (const auto& [vm, phase] : item.vms) {
+            const auto known = vms_.find(vm);
+            if (phase == upkeep_phase::done || known == vms_.end())
                 continue;
             const auto at = workers.find(known->second.report.worker);
             if (at != workers.end())
@@ -255,7 +250,7 @@
 
 // True if the lasting tasks on a worker may end now. A step with several tasks there gives them up
 // one after the other first.
-bool machine_manager::clear_for_upkeep(worker& on, worker_map& workers) const {
+bool vm_manager::clear_for_upkeep(worker& on, worker_map& workers) const {
     bool clear = true;
     std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> seen;
     for (auto& [key, run] : on.runs) {
@@ -289,46 +284,46 @@
     return clear;
 }
 
-// A machine that is gone needs no upkeep any more.
-void machine_manager::give_up_upkeep(const wave& item, const std::string& machine,
-                                     std::vector<operation>& log) const {
+// A VM that is gone needs no upkeep any more.
+void vm_manager::give_up_upkeep(const wave& item, const std::string& vm,
+                                std::vector<operation>& log) const {
     log_event(log_level::warning, "upkeep_given_up")
         .field("wave", item.order.number)
-        .field("machine", machine)
+        .field("vm", vm)
         .field("reason", "not listed");
-    log.emplace_back(mark_upkeep{item.order.number, machine, upkeep_phase::done});
+    log.emplace_back(mark_upkeep{item.order.number, vm, upkeep_phase::done});
 }
 
-void machine_manager::plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
-                                std::vector<operation>& log) {
+void vm_manager::plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
+                           std::vector<operation>& log) {
     std::uint32_t down = 0;
-    std::vector<managed_machine*> due;
-    for (const auto& [name, phase] : item.machines) {
-        const auto known = machines_.find(name);
-        if (known == machines_.end()) {
+    std::vector<managed_vm*> due;
+    for (const auto& [name, phase] : item.vms) {
+        const auto known = vms_.find(name);
+        if (known == vms_.end()) {
             if (phase != upkeep_phase::done && listed_at_ - first_listed_at_ > unlisted_limit)
                 give_up_upkeep(item, name, log);
             continue;
         }
-        auto& machine = known->second;
-        if (machine.upkeep_wave != 0 || machine.report.state == machine_state::upkeep) {
+        auto& vm = known->second;
+        if (vm.upkeep_wave != 0 || vm.report.state == vm_state::upkeep) {
             ++down;
             // An answer that did not come is asked for again: the order is idempotent.
-            if (machine.upkeep_wave != 0 && phase != upkeep_phase::done &&
-                !machine.order_under_way && now - machine.ordered_at > order_retry) {
-                announce(machine, upkeep_order{name, item.order.number, fence_}, now, log);
+            if (vm.upkeep_wave != 0 && phase != upkeep_phase::done && !vm.order_under_way &&
+                now - vm.ordered_at > order_retry) {
+                announce(vm, upkeep_order{name, item.order.number, fence_}, now, log);
             }
             continue;
         }
         if (phase == upkeep_phase::done)
             continue;
-        if (listed_at_ - machine.listed_at > unlisted_limit) {
+        if (listed_at_ - vm.listed_at > unlisted_limit) {
             give_up_upkeep(item, name, log);
             continue;
         }
-        if (machine.report.state == machine_state::up && !machine.moving_to &&
-            !machine.order_under_way && !held_by_other(name, now))
-            due.push_back(&machine);
+        if (vm.report.state == vm_state::up && !vm.moving_to && !vm.order_under_way &&
+            !held_by_other(name, now))
+            due.push_back(&vm);
     }
     if (due.empty() || down >= item.order.cap)
         return;
@@ -340,16 +335,16 @@
     const auto needed =
         static_cast<std::uint32_t>((static_cast<time_ms>(due.size()) * each + left - 1) / left);
     std::ranges::stable_sort(due, [&](const auto* a, const auto* b) {
-        const auto runs = [&](const auto* machine) {
-            const auto* on = worker_of(*machine, workers);
+        const auto runs = [&](const auto* vm) {
+            const auto* on = worker_of(*vm, workers);
             return on ? on->runs.size() : 0;
         };
         return runs(a) < runs(b);
     });
-    for (auto* machine : due) {
+    for (auto* vm : due) {
         if (down >= item.order.cap)
             return;
-        const auto at = workers.find(machine->report.worker);
+        const auto at = workers.find(vm->report.worker);
         auto* on = at == workers.end() ? nullptr : &at->second;
         if (on && !on->runs.empty()) {
             if (down >= needed)
@@ -361,45 +356,44 @@
             if (!clear_for_upkeep(*on, workers))
                 continue;
             for (auto& [key, run] : on->runs)
-                run.stop_wanted = true; // they end with the machine, and count as away from now on
+                run.stop_wanted = true; // they end with the VM, and count as away from now on
         } else {
             ++down;
         }
         if (on)
             on->reserved = true;
-        machine->upkeep_wave = item.order.number;
-        announce(*machine, upkeep_order{machine->report.machine, item.order.number, fence_}, now,
-                 log);
+        vm->upkeep_wave = item.order.number;
+        announce(*vm, upkeep_order{vm->report.vm, item.order.number, fence_}, now, log);
     }
 }
 
-void machine_manager::plan_upkeep(worker_map& workers, time_ms now, time_ms wall,
-                                  std::vector<operation>& log) {
+void vm_manager::plan_upkeep(worker_map& workers, time_ms now, time_ms wall,
+                             std::vector<operation>& log) {
     for (const auto& [number, item] : table_.waves()) {
         if (!item.completed())
             plan_wave(item, workers, now, wall, log);
     }
 }
 
-void machine_manager::order_move(managed_machine& item, const std::string& pool,
-                                 worker_map& workers, time_ms now, std::vector<operation>& log) {
+void vm_manager::order_move(managed_vm& item, const std::string& pool, worker_map& workers,
+                            time_ms now, std::vector<operation>& log) {
     const auto at = workers.find(item.report.worker);
     if (at != workers.end())
         at->second.reserved = true;
     item.moving_to = pool;
     item.idle_since = 0;
-    announce(item, move_order{item.report.machine, pool, fence_}, now, log);
+    announce(item, move_order{item.report.vm, pool, fence_}, now, log);
 }
 
-void machine_manager::log_pools(const std::map<std::string, pool_demand>& demand,
-                                const std::map<std::string, std::int64_t>& supply, time_ms now) {
+void vm_manager::log_pools(const std::map<std::string, pool_demand>& demand,
+                           const std::map<std::string, std::int64_t>& supply, time_ms now) {
     if (now - logged_at_ < pool_log_interval)
         return;
     logged_at_ = now;
     for (const auto& [pool, one] : demand) {
         const auto at = supply.find(pool);
         int idle = 0;
-        for (const auto& [name, item] : machines_)
+        for (const auto& [name, item] : vms_)
             idle += item.report.pool == pool && item.idle_since != 0 ? 1 : 0;
         log_event(log_level::info, "pool_state")
             .field("pool", pool)
@@ -407,28 +401,27 @@
             .field("supply_cpu", at == supply.end() ? std::int64_t{0} : at->second)
             .field("blocked_cpu", one.blocked)
             .field("arriving_cpu", arriving(pool))
-            .field("idle_machines", idle)
+            .field("idle_vms", idle)
             .field("list_age_ms", now - listed_at_);
     }
 }
 
-void machine_manager::plan_moves(worker_map& workers,
-                                 const std::map<std::string, pool_demand>& demand, time_ms now,
-                                 std::vector<operation>& log) {
+void vm_manager::plan_moves(worker_map& workers, const std::map<std::string, pool_demand>& demand,
+                            time_ms now, std::vector<operation>& log) {
     const auto standby = standby_pools();
-    // Processor for short tasks of each pool, with machines on their way.
+    // Processor for short tasks of each pool, with VMs on their way.
     std::map<std::string, std::int64_t> supply;
-    for (auto& [name, item] : machines_) {
+    for (auto& [name, item] : vms_) {
         if (item.moving_to) {
             supply[*item.moving_to] += item.report.capacity.cpu;
             if (!item.order_under_way && now - item.ordered_at > order_retry &&
-                item.report.state == machine_state::up && item.report.pool != *item.moving_to &&
+                item.report.state == vm_state::up && item.report.pool != *item.moving_to &&
                 now - item.listed_at < order_retry) {
                 announce(item, move_order{name, *item.moving_to, fence_}, now, log);
             }
             continue;
         }
-        if (item.report.state == machine_state::down || item.upkeep_wave != 0)
+        if (item.report.state == vm_state::down || item.upkeep_wave != 0)
             continue;
         const auto* on = worker_of(item, workers);
         if (on && (on->draining || on->hold_unanswered || on->reserved))
@@ -454,13 +447,13 @@
             short_of = std::max(short_of, asked.blocked - arriving(pool.name));
     }
     log_pools(demand, supply, now);
-    std::vector<managed_machine*> idle;
-    for (auto& [name, item] : machines_) {
+    std::vector<managed_vm*> idle;
+    for (auto& [name, item] : vms_) {
         const auto* on = worker_of(item, workers);
         if (item.idle_since != 0 && is_idle(item, workers, now) && !(on && on->reserved))
             idle.push_back(&item);
     }
-    // Resting machines first, then those that have been idle for longest.
+    // Resting VMs first, then those that have been idle for longest.
     std::ranges::stable_sort(idle, [&](const auto* a, const auto* b) {
         return std::pair(!standby.contains(a->report.pool), a->idle_since) <
                std::pair(!standby.contains(b->report.pool), b->idle_since);
@@ -478,7 +471,7 @@
             pool = target->first;
         else if (!resting && !standby.empty() && now - item->idle_since >= rest_after)
             pool = *standby.begin();
-        if (pool.empty() || refused_.contains({item->report.machine, pool}))
+        if (pool.empty() || refused_.contains({item->report.vm, pool}))
             continue;
         if (!resting)
             missing[from] += cpu;
@@ -488,15 +481,15 @@
     }
 }
 
-void machine_manager::decide(worker_map& workers, const std::map<std::string, pool_demand>& demand,
-                             time_ms now, time_ms wall, std::vector<operation>& log,
-                             std::vector<order>& orders) {
+void vm_manager::decide(worker_map& workers, const std::map<std::string, pool_demand>& demand,
+                        time_ms now, time_ms wall, std::vector<operation>& log,
+                        std::vector<order>& orders) {
     if (!settings_.available || now - planned_at_ < plan_interval)
         return;
     planned_at_ = now;
     if (!list_under_way_ && now >= list_due_at_ && table_.config().version != 0) {
         list_under_way_ = true;
-        orders.emplace_back(list_machines_order{});
+        orders.emplace_back(list_vms_order{});
     }
     if (listed_at_ == 0)
         return;
--- a/src/workload/machine_manager.h
+++ b/src/workload/vm_manager.h
@@ -1,8 +1,8 @@
-// Decides which machines move between pools, rest in a standby pool or go down for upkeep.
+// Decides which VMs move between pools, rest in a standby pool or go down for upkeep.
 //
 // Load pattern: one queue at a time asks for more than its pool holds, while the other pools are
-// nearly idle; waves of upkeep run at the same time. Only machines without runs are moved. A
-// machine with lasting tasks goes down only while enough others of their steps are at work.
+// nearly idle; waves of upkeep run at the same time. Only VMs without runs are moved. A
+// VM with lasting tasks goes down only while enough others of their steps are at work.
 #pragma once
 
 #include "workload/orders.h"
@@ -16,11 +16,11 @@
 
 namespace clementine::workload {
 
-struct machine_settings {
+struct vm_settings {
     std::string node;       // holder of the orders
-    bool available = false; // the platform takes orders about machines
+    bool available = false; // the platform takes orders about VMs
     time_ms holder_turn{0}; // pause between the orders of two holders
-    time_ms move_time{0};   // a machine is away for this long when it moves
+    time_ms move_time{0};   // a VM is away for this long when it moves
     time_ms upkeep_time{0};
 };
 
@@ -30,8 +30,8 @@
     std::int64_t blocked = 0; // processor of tasks that no worker has room for, lasting ones too
 };
 
-struct managed_machine {
-    machine_report report;
+struct managed_vm {
+    vm_report report;
     bool order_under_way = false;
     time_ms ordered_at{0};
     std::optional<order> announced;       // follows when the log has taken its announcement
@@ -41,43 +41,42 @@
     time_ms listed_at{0};
 };
 
-class machine_manager {
+class vm_manager {
   public:
-    machine_manager(const job_table& table, machine_settings settings);
+    vm_manager(const job_table& table, vm_settings settings);
 
     void lead(std::uint64_t fence, time_ms now, time_ms wall);
-    void observe(const std::vector<machine_report>& machines, order_answer answer, time_ms now);
-    // True if everything on the machine's worker has ended.
+    void observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now);
+    // True if everything on the VM's worker has ended.
     bool observe(const move_order& order, order_answer answer, time_ms now);
     bool observe(const upkeep_order& order, order_answer answer, time_ms now);
-    // Worker that ran on a machine when it was last listed; empty if unknown.
-    std::string worker_on(const std::string& machine) const;
+    // Worker that ran on a VM when it was last listed; empty if unknown.
+    std::string worker_on(const std::string& vm) const;
     // The announcement of an order is in the log.
-    void committed(const order_machine& announced, time_ms now, std::vector<order>& orders);
+    void committed(const order_vm& announced, time_ms now, std::vector<order>& orders);
 
     // Adds operations and orders. `workers` are reserved for what is planned.
     void decide(std::map<std::string, worker>& workers,
                 const std::map<std::string, pool_demand>& demand, time_ms now, time_ms wall,
                 std::vector<operation>& log, std::vector<order>& orders);
 
-    // Processor of machines that are on their way to a pool, in thousandths of a core.
+    // Processor of VMs that are on their way to a pool, in thousandths of a core.
     std::int64_t arriving(const std::string& pool) const;
-    // Processor of idle machines in standby pools.
+    // Processor of idle VMs in standby pools.
     std::int64_t resting() const;
     time_ms move_time() const { return settings_.move_time; }
 
   private:
     using worker_map = std::map<std::string, worker>;
 
-    void announce(managed_machine& item, order value, time_ms now, std::vector<operation>& log);
-    bool held_by_other(const std::string& machine, time_ms now) const;
+    void announce(managed_vm& item, order value, time_ms now, std::vector<operation>& log);
+    bool held_by_other(const std::string& vm, time_ms now) const;
     void note_idle(const worker_map& workers, time_ms now);
-    const worker* worker_of(const managed_machine& item, const worker_map& workers) const;
-    bool is_idle(const managed_machine& item, const worker_map& workers, time_ms now) const;
+    const worker* worker_of(const managed_vm& item, const worker_map& workers) const;
+    bool is_idle(const managed_vm& item, const worker_map& workers, time_ms now) const;
     void release_reservations(worker_map& workers) const;
     void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log);
-    void give_up_upkeep(const wave& item, const std::string& machine,
-                        std::vector<operation>& log) const;
+    void give_up_upkeep(const wave& item, const std::string& vm, std::vector<operation>& log) const;
     void plan_wave(const wave& item, worker_map& workers, time_ms now, time_ms wall,
                    std::vector<operation>& log);
     bool clear_for_upkeep(worker& on, worker_map& workers) const;
@@ -85,16 +84,16 @@
                     time_ms now, std::vector<operation>& log);
     void log_pools(const std::map<std::string, pool_demand>& demand,
                    const std::map<std::string, std::int64_t>& supply, time_ms now);
-    void order_move(managed_machine& item, const std::string& pool, worker_map& workers,
-                    time_ms now, std::vector<operation>& log);
+    void order_move(managed_vm& item, const std::string& pool, worker_map& workers, time_ms now,
+                    std::vector<operation>& log);
 
     const job_table& table_;
-    machine_settings settings_;
+    vm_settings settings_;
     std::uint64_t fence_ = 0;
-    std::map<std::string, managed_machine> machines_;
+    std::map<std::string, managed_vm> vms_;
     std::set<std::string> standby_pools() const;
-    std::set<std::pair<std::string, std::string>> refused_; // machine and pool that do not match
-    // Machines that another node gave orders about, until when they are left alone.
+    std::set<std::pair<std::string, std::string>> refused_; // VM and pool that do not match
+    // VMs that another node gave orders about, until when they are left alone.
     std::map<std::string, time_ms> held_by_others_;
     bool list_under_way_ = false;
     time_ms listed_at_{0};
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -73,7 +73,7 @@
     worker_ref ref;
     std::string pool;
     std::string address;
-    std::string zone;
+    std::string availability_zone;
     std::string kind;
     std::string rack;
     resources capacity;
@@ -81,9 +81,9 @@
     bool reported = false;  // announced itself to this leader
     bool contacted = false; // answered a hold of this leader
     bool draining = false;
-    bool reserved = false;   // its machine is about to move or to go down
-    bool upkeep_due = false; // its machine will go down in a wave
-    bool leaving = false;    // it said good-bye, or its machine was ordered away
+    bool reserved = false;   // its VM is about to move or to go down
+    bool upkeep_due = false; // its VM will go down in a wave
+    bool leaving = false;    // it said good-bye, or its VM was ordered away
     time_ms leaving_since{0};
     time_ms reported_at{0};
 
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -39,7 +39,7 @@
     CPPUNIT_TEST(reads_lists_of_a_worker);
     CPPUNIT_TEST(tells_another_life_of_a_worker);
     CPPUNIT_TEST(reads_conflicts);
-    CPPUNIT_TEST(passes_over_unreadable_machines);
+    CPPUNIT_TEST(passes_over_unreadable_vms);
     CPPUNIT_TEST(reads_settings);
     CPPUNIT_TEST_SUITE_END();
 
@@ -180,7 +180,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string(R"({"Machine":"m-1","Pool":"s1"})"), move.body);
         CPPUNIT_ASSERT_EQUAL(std::string("7"), move.headers[0].second);
         CPPUNIT_ASSERT_EQUAL(std::string("n1"), move.headers[1].second);
-        const auto list = wire_.encode_order(list_machines_order{}, "n1", "p2");
+        const auto list = wire_.encode_order(list_vms_order{}, "n1", "p2");
         CPPUNIT_ASSERT_EQUAL(std::string("/clementineroad/machines?PageToken=p2"), list.target);
     }
 
@@ -233,15 +233,15 @@
                        wire_.decode_answer(move_order{}, 429, "").answer);
     }
 
-    void passes_over_unreadable_machines() {
+    void passes_over_unreadable_vms() {
         const auto result = wire_.decode_answer(
-            list_machines_order{}, 200,
+            list_vms_order{}, 200,
             R"({"Machines":[{"Machine":"m-1","Pool":"s1","State":"up","Id":"i-1"},)"
             R"({"Machine":"m-2","Pool":"s1","State":"flying"},{"Pool":"s1"},)"
             R"({"Machine":"m-3","Pool":"s2","State":"down","Id":null}],"NextToken":"p2"})");
         CPPUNIT_ASSERT(order_answer::done == result.answer);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.machines.size());
-        CPPUNIT_ASSERT_EQUAL(std::string("m-3"), result.machines[1].machine);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, result.vms.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("m-3"), result.vms[1].vm);
         CPPUNIT_ASSERT_EQUAL(std::string("p2"), result.next_page);
     }
 
@@ -258,7 +258,7 @@
         const auto& value = std::get<process_settings>(decoded);
         CPPUNIT_ASSERT(value.first_start);
         CPPUNIT_ASSERT_EQUAL(time_ms{1'500}, value.move_time);
-        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, value.tolerated_machines);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, value.tolerated_vms);
         CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.26:7060"), seed_links(value)[1]);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.11:7061"), metrics_address(value));
         for (const std::string broken : {"", "[]", "{\"Node\":\"x\"}", "{\"Node\""})
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -72,21 +72,21 @@
     first.operations.emplace_back(put_configuration{config});
     table_.apply(first, term_);
     auto pools = options_.pools;
-    pools.emplace_back(options_.standby, options_.standby_machines);
+    pools.emplace_back(options_.standby, options_.standby_vms);
     int number = 0;
     for (const auto& [pool, count] : pools) {
         for (int i = 0; i < count; ++i, ++number) {
-            fake_machine item;
+            fake_vm item;
             item.name = "m" + std::to_string(100 + number);
             item.pool = pool;
             item.rack = "r" + std::to_string(number / 4);
-            auto& added = machines_[item.name] = item;
+            auto& added = vms_[item.name] = item;
             if (pool != options_.standby)
                 start_worker(added);
         }
     }
     controller_settings settings;
-    settings.machines = {"n1", options_.machine_orders, 3'000, move_duration, upkeep_duration};
+    settings.vms = {"n1", options_.vm_orders, 3'000, move_duration, upkeep_duration};
     controller_ = std::make_unique<controller>(table_, settings);
     controller_->lead(term_, now_, now_);
 }
@@ -99,17 +99,17 @@
     events_.emplace(when, std::move(run));
 }
 
-void fake_fleet::start_worker(fake_machine& on) {
+void fake_fleet::start_worker(fake_vm& on) {
     fake_worker item;
     item.ref = {"w" + std::to_string(100 + next_worker_++), now_};
-    item.machine = on.name;
+    item.vm = on.name;
     item.pool = on.pool;
     item.rack = on.rack;
     item.address = "10.0.0." + std::to_string(next_port_++) + ":80";
     item.born_at = now_;
     item.clock_rate = 1.0 - 0.02 * random_.unit();
     on.worker = item.ref.id;
-    on.state = machine_state::up;
+    on.state = vm_state::up;
     workers_[item.ref.id] = item;
 }
 
@@ -132,11 +132,11 @@
         events_.erase(events_.begin());
         run();
     }
-    for (auto& [name, item] : machines_) {
+    for (auto& [name, item] : vms_) {
         if (item.back_at == 0 || now_ < item.back_at)
             continue;
         item.back_at = 0;
-        item.state = machine_state::up;
+        item.state = vm_state::up;
         if (item.pool != options_.standby)
             start_worker(item);
     }
@@ -247,16 +247,16 @@
     std::visit(
         [&](const auto& item) {
             using type = std::decay_t<decltype(item)>;
-            if constexpr (std::is_same_v<type, list_machines_order>)
+            if constexpr (std::is_same_v<type, list_vms_order>)
                 at(now_ + 2 * one_way, [this, term = term_] {
-                    std::vector<machine_report> out;
-                    for (const auto& [name, machine] : machines_)
+                    std::vector<vm_report> out;
+                    for (const auto& [name, vm] : vms_)
                         out.push_back({name,
-                                       machine.pool,
-                                       machine.state,
-                                       {"kind", machine.rack},
+                                       vm.pool,
+                                       vm.state,
+                                       {"kind", vm.rack},
                                        {16'000, 32'000, 0},
-                                       machine.state == machine_state::up ? machine.worker : ""});
+                                       vm.state == vm_state::up ? vm.worker : ""});
                     if (term == term_)
                         controller_->observe(
                             out, lists_fail ? order_answer::no_answer : order_answer::done, now_);
@@ -265,7 +265,7 @@
                 advise(item);
             else if constexpr (std::is_same_v<type, move_order> ||
                                std::is_same_v<type, upkeep_order>)
-                at(now_ + one_way, [this, item] { call_machine(item); });
+                at(now_ + one_way, [this, item] { call_vm(item); });
             else
                 call_worker(item);
         },
@@ -434,7 +434,7 @@
     return fits_fence(on, value.fence) ? order_answer::done : order_answer::fenced;
 }
 
-// A machine order must not end a lasting task while too many others of its step are away.
+// A VM order must not end a lasting task while too many others of its step are away.
 void fake_fleet::check_availability(const fake_worker& on, const char* by) {
     std::map<std::pair<std::string, std::uint32_t>, std::uint32_t> ending;
     for (const auto& run : on.runs) {
@@ -458,15 +458,15 @@
     }
 }
 
-void fake_fleet::call_machine(const move_order& value) {
-    auto& item = machines_.at(value.machine);
+void fake_fleet::call_vm(const move_order& value) {
+    auto& item = vms_.at(value.vm);
     auto answer = order_answer::busy;
-    if (value.fence < machine_fence_)
-        violation("a machine order with an old fence");
-    machine_fence_ = std::max(machine_fence_, value.fence);
+    if (value.fence < vm_fence_)
+        violation("a VM order with an old fence");
+    vm_fence_ = std::max(vm_fence_, value.fence);
     if (item.pool == value.pool) {
         answer = order_answer::done;
-    } else if (item.state == machine_state::up) {
+    } else if (item.state == vm_state::up) {
         answer = order_answer::done;
         ++moves_;
         if (const auto on = workers_.find(item.worker); on != workers_.end()) {
@@ -475,7 +475,7 @@
         }
         item.worker.clear();
         item.pool = value.pool;
-        item.state = machine_state::moving;
+        item.state = vm_state::moving;
         item.back_at = now_ + move_duration;
     }
     at(now_ + one_way, [this, value, answer, term = term_] {
@@ -484,26 +484,26 @@
     });
 }
 
-void fake_fleet::call_machine(const upkeep_order& value) {
-    auto& item = machines_.at(value.machine);
+void fake_fleet::call_vm(const upkeep_order& value) {
+    auto& item = vms_.at(value.vm);
     auto answer = order_answer::busy;
-    if (value.fence < machine_fence_)
-        violation("a machine order with an old fence");
-    machine_fence_ = std::max(machine_fence_, value.fence);
-    if (item.state == machine_state::up) {
+    if (value.fence < vm_fence_)
+        violation("a VM order with an old fence");
+    vm_fence_ = std::max(vm_fence_, value.fence);
+    if (item.state == vm_state::up) {
         answer = order_answer::done;
         ++upkeeps_;
         const auto down = std::ranges::count_if(
-            machines_, [](const auto& one) { return one.second.state == machine_state::upkeep; });
+            vms_, [](const auto& one) { return one.second.state == vm_state::upkeep; });
         const auto wave = table_.waves().find(value.wave);
         if (wave != table_.waves().end() && down >= wave->second.order.cap)
-            violation("too many machines down in a wave");
+            violation("too many VMs down in a wave");
         if (const auto on = workers_.find(item.worker); on != workers_.end()) {
             check_availability(on->second, "an upkeep");
             end_worker(item.worker);
         }
         item.worker.clear();
-        item.state = machine_state::upkeep;
+        item.state = vm_state::upkeep;
         item.back_at = now_ + upkeep_duration;
     }
     at(now_ + one_way, [this, value, answer, term = term_] {
@@ -545,9 +545,9 @@
 }
 
 void fake_fleet::crash(const std::string& worker) {
-    auto& machine = machines_.at(workers_.at(worker).machine);
+    auto& vm = vms_.at(workers_.at(worker).vm);
     end_worker(worker);
-    start_worker(machine);
+    start_worker(vm);
 }
 
 } // namespace clementine::workload
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -1,4 +1,4 @@
-// Workers, machines and a log in virtual time around one controller, with the promises that the
+// Workers, VMs and a log in virtual time around one controller, with the promises that the
 // decisions must keep checked at each step. Orders take a millisecond, a commit ten.
 #pragma once
 
@@ -28,7 +28,7 @@
 
 struct fake_worker {
     worker_ref ref;
-    std::string machine;
+    std::string vm;
     std::string pool;
     std::string address;
     std::string rack;
@@ -52,11 +52,11 @@
     }
 };
 
-struct fake_machine {
+struct fake_vm {
     std::string name;
     std::string pool;
     std::string rack;
-    machine_state state = machine_state::up;
+    vm_state state = vm_state::up;
     time_ms back_at{0};
     std::string worker; // id while up
 };
@@ -65,11 +65,11 @@
     std::uint64_t seed = 1;
     std::vector<std::pair<std::string, int>> pools{{"a", 4}, {"b", 4}};
     std::string standby = "spare";
-    int standby_machines = 2;
-    bool machine_orders = true; // false: fixed pools
-    bool advice = false;        // queue "qa" needs placement advice
-    double late_orders = 0;     // share of orders without an answer, carried out 2 to 12 s later
-    double commit_loss = 0;     // share of a crashed leader's commands that were not committed
+    int standby_vms = 2;
+    bool vm_orders = true;  // false: fixed pools
+    bool advice = false;    // queue "qa" needs placement advice
+    double late_orders = 0; // share of orders without an answer, carried out 2 to 12 s later
+    double commit_loss = 0; // share of a crashed leader's commands that were not committed
 };
 
 class fake_fleet {
@@ -90,7 +90,7 @@
     // The worker's process ends; it starts again under a new id.
     void crash(const std::string& worker);
     std::map<std::string, fake_worker>& workers() { return workers_; }
-    std::map<std::string, fake_machine>& machines() { return machines_; }
+    std::map<std::string, fake_vm>& vms() { return vms_; }
     const std::vector<std::string>& violations() const { return violations_; }
     int advice_calls() const { return advice_calls_; }
     // What the advice service says of a worker.
@@ -100,7 +100,7 @@
     // Real time of a decision, for benchmarks.
     double mean_round_us() const;
     bool idle_leader = false; // no leader acts
-    bool lists_fail = false;  // the platform does not list its machines
+    bool lists_fail = false;  // the platform does not list its VMs
 
   private:
     struct event {
@@ -109,7 +109,7 @@
     };
 
     void at(time_ms when, std::function<void()> run);
-    void start_worker(fake_machine& on);
+    void start_worker(fake_vm& on);
     void end_worker(const std::string& id);
     void step();
     void advance_runs(fake_worker& item);
@@ -124,8 +124,8 @@
     order_answer carry_out(fake_worker& on, const stop_order& value);
     order_answer carry_out(fake_worker& on, const pace_order& value);
     worker_lists lists_of(const fake_worker& on) const;
-    void call_machine(const move_order& value);
-    void call_machine(const upkeep_order& value);
+    void call_vm(const move_order& value);
+    void call_vm(const upkeep_order& value);
     void advise(const advise_order& value);
     bool fits_fence(fake_worker& on, std::uint64_t fence);
     void check_start(const fake_worker& on, const start_order& value);
@@ -140,7 +140,7 @@
     job_table table_;
     std::unique_ptr<controller> controller_;
     std::map<std::string, fake_worker> workers_;
-    std::map<std::string, fake_machine> machines_;
+    std::map<std::string, fake_vm> vms_;
     std::multimap<time_ms, std::function<void()>> events_;
     std::vector<std::string> violations_;
     std::map<task_id, std::set<std::uint32_t>> done_runs_;
@@ -152,7 +152,7 @@
     int upkeeps_ = 0;
     std::int64_t rounds_ = 0;
     double rounds_us_ = 0;
-    std::uint64_t machine_fence_ = 0;
+    std::uint64_t vm_fence_ = 0;
 };
 
 // Two queues "qa" and "qb" on pools "a" and "b", and a standby pool.
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -1,5 +1,5 @@
 // Guards the decisions of a leading control node against lost and doubled work, and against
-// machine orders that end too many tasks, under the load and faults of a day.
+// VM orders that end too many tasks, under the load and faults of a day.
 #include "workload/fake_fleet.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -30,12 +30,12 @@
 class fleet_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(fleet_test);
     CPPUNIT_TEST(serves_jobs_of_several_steps);
-    CPPUNIT_TEST(lasting_tasks_bring_machines_back_from_rest);
+    CPPUNIT_TEST(lasting_tasks_bring_vms_back_from_rest);
     CPPUNIT_TEST(lasting_tasks_get_room_in_a_full_pool);
     CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_away);
     CPPUNIT_TEST(wave_is_done_in_time);
-    CPPUNIT_TEST(wave_is_not_done_while_machines_are_not_listed);
-    CPPUNIT_TEST(machines_follow_a_surge);
+    CPPUNIT_TEST(wave_is_not_done_while_vms_are_not_listed);
+    CPPUNIT_TEST(vms_follow_a_surge);
     CPPUNIT_TEST(late_orders_never_double_a_task);
     CPPUNIT_TEST(new_leader_neither_loses_nor_doubles_work);
     CPPUNIT_TEST(advised_steps_run_only_where_they_may);
@@ -60,8 +60,8 @@
         assert_clean(fleet);
     }
 
-    // All machines but one of a pool rest when lasting work comes that needs four.
-    void lasting_tasks_bring_machines_back_from_rest() {
+    // All VMs but one of a pool rest when lasting work comes that needs four.
+    void lasting_tasks_bring_vms_back_from_rest() {
         fake_fleet fleet({});
         fleet.run_for(6'000);
         CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_lasting_step(4, 9'000, 1))));
@@ -74,7 +74,7 @@
     // Short tasks take each bit of room that becomes free, so that none is ever large enough.
     void lasting_tasks_get_room_in_a_full_pool() {
         fleet_options options;
-        options.machine_orders = false;
+        options.vm_orders = false;
         fake_fleet fleet(options);
         fleet.run_for(2'500);
         bool submitted = false;
@@ -106,7 +106,7 @@
             if (holder.empty())
                 holder = id;
             else
-                order.machines.push_back(item.machine);
+                order.vms.push_back(item.vm);
         }
         fleet.set_dark(holder, true);
         fleet.run_for(4'600);
@@ -122,8 +122,8 @@
         CPPUNIT_ASSERT(fleet.submit("qb", id_of(2), one_step(make_lasting_step(3, 2'000, 1))));
         fleet.run_for(2'000);
         wave_order order{1, {}, 20'000, 2};
-        for (const auto& [name, item] : fleet.machines())
-            order.machines.push_back(name);
+        for (const auto& [name, item] : fleet.vms())
+            order.vms.push_back(name);
         fleet.order_wave(order);
         fleet.run_for(20'000);
         CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
@@ -131,9 +131,9 @@
         assert_clean(fleet);
     }
 
-    // A machine that the platform does not list any more needs no upkeep; without any list nothing
+    // A VM that the platform does not list any more needs no upkeep; without any list nothing
     // is known about it.
-    void wave_is_not_done_while_machines_are_not_listed() {
+    void wave_is_not_done_while_vms_are_not_listed() {
         fake_fleet fleet({});
         fleet.run_for(3'000);
         fleet.lists_fail = true;
@@ -143,8 +143,8 @@
         CPPUNIT_ASSERT(!wave.completed() || fleet.upkeeps() == 2);
     }
 
-    static int served_in_surge(bool machine_orders, fake_fleet& fleet) {
-        fleet.run_for(8'000); // the machines rest
+    static int served_in_surge(bool vm_orders, fake_fleet& fleet) {
+        fleet.run_for(8'000); // the VMs rest
         for (int i = 0; i < 200; ++i) {
             fleet.submit("qa", id_of(i), one_step(make_step(6, 1'000, 800)));
             fleet.run_for(40);
@@ -155,16 +155,16 @@
             const auto* item = fleet.table().find_job(id_of(i));
             served += item && item->state == job_state::completed ? 1 : 0;
         }
-        CPPUNIT_ASSERT(machine_orders == (fleet.moves() > 0));
+        CPPUNIT_ASSERT(vm_orders == (fleet.moves() > 0));
         assert_clean(fleet);
         return served;
     }
 
     // One queue asks for about twice what its pool holds while the other pool is idle. Pools that
     // begin at rest must still serve more than fixed ones.
-    void machines_follow_a_surge() {
+    void vms_follow_a_surge() {
         fleet_options fixed;
-        fixed.machine_orders = false;
+        fixed.vm_orders = false;
         fake_fleet static_pools(fixed);
         fake_fleet moving_pools({});
         const auto baseline = served_in_surge(false, static_pools);
@@ -217,7 +217,7 @@
     void advised_steps_run_only_where_they_may() {
         fleet_options options;
         options.advice = true;
-        options.machine_orders = false;
+        options.vm_orders = false;
         fake_fleet fleet(options);
         fleet.run_for(2'500);
         for (int i = 0; i < 5; ++i)
@@ -246,9 +246,9 @@
             fleet.submit("qb", id_of(1'002), one_step(make_lasting_step(3, 2'500, 1)));
             fleet.run_for(1'500);
             wave_order order{1, {}, 20'000, 2};
-            for (const auto& [name, item] : fleet.machines()) {
+            for (const auto& [name, item] : fleet.vms()) {
                 if (random.chance(0.5))
-                    order.machines.push_back(name);
+                    order.vms.push_back(name);
             }
             fleet.order_wave(order);
             for (int i = 0; i < 60; ++i) {
--- a/tests/workload/job_table_test.cpp
+++ b/tests/workload/job_table_test.cpp
@@ -165,13 +165,13 @@
         start(0, 0, 2);
         apply(put_wave{{4, {"m1", "m2"}, 20'000, 1}});
         apply(mark_upkeep{4, "m1", upkeep_phase::done});
-        apply(order_machine{"m1", "n1"});
+        apply(order_vm{"m1", "n1"});
         job_table loaded;
         CPPUNIT_ASSERT(loaded.load(table_.save()));
         CPPUNIT_ASSERT(loaded.save() == table_.save());
         CPPUNIT_ASSERT(loaded.find_job("j1")->spec == table_.find_job("j1")->spec);
         CPPUNIT_ASSERT_EQUAL(std::string("c"), loaded.find_task({"j1", 0, 0, 0})->checkpoint);
-        CPPUNIT_ASSERT_EQUAL(std::string("n1"), loaded.machine_holders().at("m1").node);
+        CPPUNIT_ASSERT_EQUAL(std::string("n1"), loaded.vm_holders().at("m1").node);
         CPPUNIT_ASSERT_EQUAL(1.6, loaded.config().queues[0].stretch);
     }
 
--- a/tests/workload/policy_test.cpp
+++ b/tests/workload/policy_test.cpp
@@ -24,7 +24,7 @@
 class policy_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(policy_test);
     CPPUNIT_TEST(refuses_what_cannot_be_on_time);
-    CPPUNIT_TEST(arriving_machines_shorten_the_wait);
+    CPPUNIT_TEST(arriving_vms_shorten_the_wait);
     CPPUNIT_TEST(longest_chain_follows_dependencies);
     CPPUNIT_TEST(short_tasks_fill_the_fullest_worker);
     CPPUNIT_TEST(lasting_tasks_of_a_step_are_spread);
@@ -51,7 +51,7 @@
         CPPUNIT_ASSERT(admit(input).accepted);
     }
 
-    void arriving_machines_shorten_the_wait() {
+    void arriving_vms_shorten_the_wait() {
         pool_load load;
         load.capacity = 16'000;
         load.waiting_work = 16'000 * 4'000;
