Let nodes learn of the leader through any control node

After the final power loss the seeds were spares that knew only each other; a leader was elected, but it told only those who had called it, and spares told nothing. Test: entry_finds_the_leader_through_a_spare failed first. Ruled out: the log (a leader took over with all that was committed). Change: a control node calls back whoever calls it; a leader heard from itself is passed on.

--- a/src/control/cluster_links.cpp
+++ b/src/control/cluster_links.cpp
@@ -42,6 +42,9 @@
     wire::channel_server::handlers accepting;
     accepting.opened = [this](const std::shared_ptr<wire::connection>& peer) {
         callers_.insert(peer);
+        // A node that knows nobody who leads, such as a seed that became a spare, learns it there.
+        if (peer->peer().role == wire::node_role::controld)
+            connect(peer->peer().node);
     };
     accepting.received = [this](const std::shared_ptr<wire::connection>& peer,
                                 wire::message&& value) {
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -413,6 +413,10 @@
     if (log_->role() == consensus::replica_role::leader && !serving)
         value.leader.clear();
     value.term = log_->term();
+    if (value.leader.empty() && !router_->confirmed_leader().empty()) {
+        value.leader = router_->confirmed_leader();
+        value.term = router_->leader_term();
+    }
     if (serving)
         value.members = log_->members().members;
     directory_sent_at_ = clock_.now();
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -79,6 +79,8 @@
     // Only the leader itself confirms that it leads; others point to it.
     if (value.leader == node || value.term > leader_term_ || leader_.empty())
         leader_seen_ = clock_.now();
+    if (value.leader == node)
+        leader_confirmed_ = clock_.now();
     const bool changed = value.leader != leader_;
     leader_term_ = value.term;
     if (!changed)
@@ -130,6 +132,11 @@
     }
 }
 
+std::string leader_router::confirmed_leader() const {
+    const bool recent = clock_.now() - leader_confirmed_ <= leader_memory;
+    return leader_confirmed_ != 0 && recent ? leader_ : std::string();
+}
+
 bool leader_router::had_leader(time_ms within) const {
     return leader_seen_ != 0 && clock_.now() - leader_seen_ <= within;
 }
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -65,6 +65,10 @@
 
     // Node that leads as far as known; empty if unknown.
     const std::string& leader() const { return leader_; }
+    // The leader, if it said so itself a moment ago; empty otherwise. Only this may be passed on:
+    // nodes that repeat what others say would keep a dead leader alive.
+    std::string confirmed_leader() const;
+    std::uint64_t leader_term() const { return leader_term_; }
     // True if a leader was known at some time in the last `within` ms.
     bool had_leader(time_ms within) const;
     void stop() { timer_.cancel(); }
@@ -93,6 +97,7 @@
     std::string leader_;
     std::uint64_t leader_term_ = 0;
     time_ms leader_seen_{0};
+    time_ms leader_confirmed_{0}; // by itself
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, pending> pending_;
 };
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST_SUITE(cluster_test);
     CPPUNIT_TEST(whole_path);
     CPPUNIT_TEST(lost_disk_is_replaced_among_spares);
+    CPPUNIT_TEST(entry_finds_the_leader_through_a_spare);
     CPPUNIT_TEST(entry_without_links_is_not_ready);
     CPPUNIT_TEST_SUITE_END();
 
@@ -43,6 +44,8 @@
     std::map<int, std::unique_ptr<job_control>> nodes_;
     std::vector<std::unique_ptr<job_control>> retired_;
     std::size_t tolerated_losses_ = 1;
+    std::vector<std::string> seeds_{address(1, links_port), address(2, links_port),
+                                    address(3, links_port)};
 
     static std::string folder(int node) {
         return std::string(TEST_DATA_FOLDER) + "/" + std::to_string(node);
@@ -55,7 +58,7 @@
         settings.listen = address(node, control_port);
         settings.admin = address(node, admin_port);
         settings.folder = folder(node);
-        settings.seeds = {address(1, links_port), address(2, links_port), address(3, links_port)};
+        settings.seeds = seeds_;
         settings.first_start = first_start;
         settings.tolerated_losses = tolerated_losses_;
         nodes_[node] =
@@ -264,6 +267,40 @@
         run_for(200);
     }
 
+    // After a restart an entry node knows only its seeds. Those had become spares that knew only
+    // each other, while the leader knew them: nobody was served any more.
+    void entry_finds_the_leader_through_a_spare() {
+        for (int node = 1; node <= 3; ++node) {
+            std::filesystem::create_directories(folder(node));
+            start_node(node, true);
+        }
+        CPPUNIT_ASSERT(wait_for([&] { return configure(1, configuration(5)) == 200; }));
+        std::filesystem::create_directories(folder(4));
+        seeds_ = {address(4, links_port)};
+        start_node(4, false);
+        for (int node = 1; node <= 3; ++node)
+            nodes_[node]->set_seeds(seeds_);
+        job_entry_settings settings;
+        settings.node = "e3";
+        settings.links = address(9, links_port);
+        settings.listen = address(9, callers_port);
+        settings.ready = address(9, ready_port);
+        settings.ready_path = "/ready";
+        settings.admin = address(9, admin_port);
+        settings.deadline_header = "Request-Deadline";
+        settings.seeds = seeds_;
+        job_entry entry(loop_, settings, clock_);
+        CPPUNIT_ASSERT_EQUAL(std::string(), entry.start());
+        call_until(address(9, ready_port), {"GET", "/ready", {}, {}}, 200);
+        call_until(address(9, callers_port), request("GET", "00000000000000ff"), 410);
+        bool stopped = false;
+        entry.stop_gracefully([&] { stopped = true; });
+        CPPUNIT_ASSERT(wait_for([&] { return stopped; }));
+        for (auto& [number, node] : nodes_)
+            node->stop();
+        run_for(200);
+    }
+
     // An entry node that was cut off stayed in rotation and failed its callers for seconds.
     void entry_without_links_is_not_ready() {
         job_entry_settings settings;
