Share address parsing and the check of answers; refuse malformed worker addresses

Cause: read as a newcomer: an address was turned into an endpoint in three places, one of them giving 0.0.0.0 without a line; three observers repeated the same check; a flush timer stood twice; one parameter was unused. A worker's malformed address was taken. Test: passes_over_malformed_announcements, with a name and with a missing port, failed first.

--- a/src/control/cluster_links.cpp
+++ b/src/control/cluster_links.cpp
@@ -1,13 +1,11 @@
 #include "control/cluster_links.h"
 
-#include "base/ini.h"
 #include "base/log.h"
+#include "control/endpoint.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace clementine::control {
@@ -23,20 +21,13 @@
                                           .reconnect_min = 50,
                                           .reconnect_max = 400};
 
-std::optional<asio::ip::tcp::endpoint> parse_node(const std::string& node) {
-    const auto text = parse_endpoint(node);
-    if (!text)
-        return std::nullopt;
-    return asio::ip::tcp::endpoint(asio::ip::make_address(text->address), text->port);
-}
-
 } // namespace
 
 cluster_links::cluster_links(asio::io_context& loop, wire::hello self, callbacks handlers)
     : loop_(loop), self_(std::move(self)), handlers_(std::move(handlers)) {}
 
 std::string cluster_links::listen(const std::string& address) {
-    const auto endpoint = parse_node(address);
+    const auto endpoint = parse_tcp_endpoint(address);
     if (!endpoint)
         return "not an address: " + address;
     wire::channel_server::handlers accepting;
@@ -59,7 +50,7 @@
 void cluster_links::connect(const std::string& node) {
     if (stopped_ || node == self_.node || channels_.contains(node))
         return;
-    const auto endpoint = parse_node(node);
+    const auto endpoint = parse_tcp_endpoint(node);
     if (!endpoint) {
         log_event(log_level::warning, "peer_ignored").field("node", node);
         return;
--- /dev/null
+++ b/src/control/endpoint.h
@@ -0,0 +1,17 @@
+// Addresses "IP:port" as Asio endpoints.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <string>
+
+namespace clementine::control {
+
+std::optional<boost::asio::ip::tcp::endpoint> parse_tcp_endpoint(const std::string& address);
+
+// For addresses that were checked before. A malformed one is logged and gives 0.0.0.0:0, to which
+// no connection succeeds.
+boost::asio::ip::tcp::endpoint checked_tcp_endpoint(const std::string& address);
+
+} // namespace clementine::control
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -1,9 +1,8 @@
 #include "control/job_control.h"
 
-#include "base/ini.h"
 #include "base/log.h"
+#include "control/endpoint.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -55,11 +54,6 @@
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
-asio::ip::tcp::endpoint to_endpoint(const std::string& address) {
-    const auto text = parse_endpoint(address).value_or(endpoint_text{"0.0.0.0", 0});
-    return {asio::ip::make_address(text.address), text.port};
-}
-
 wire::call_reply answer(std::uint64_t id, unsigned status, std::string body = {},
                         time_ms retry_after = 0) {
     wire::call_reply out;
@@ -145,11 +139,12 @@
     for (const auto& seed : settings_.seeds)
         links_->connect(seed);
     if (!settings_.vms.empty())
-        vms_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.vms),
+        vms_ = std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(settings_.vms),
                                            order_connections);
     // The service takes one call of a node at a time.
     if (!settings_.advice.empty())
-        advice_ = std::make_shared<http_pool>(loop_, clock_, to_endpoint(settings_.advice), 1);
+        advice_ =
+            std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(settings_.advice), 1);
     schedule_tick();
     return {};
 }
@@ -165,14 +160,14 @@
         loop_, limits, [this](const http_request& request, const http_respond& respond) {
             handle_http(request, respond);
         });
-    problem = server_->listen(to_endpoint(settings_.listen));
+    problem = server_->listen(checked_tcp_endpoint(settings_.listen));
     if (!problem.empty())
         return "cannot listen on " + settings_.listen + ": " + problem;
     admin_ = std::make_shared<http_server>(
         loop_, http_limits{}, [this](const http_request& request, const http_respond& respond) {
             handle_admin(request, respond);
         });
-    problem = admin_->listen(to_endpoint(settings_.admin));
+    problem = admin_->listen(checked_tcp_endpoint(settings_.admin));
     return problem.empty() ? problem : "cannot listen on " + settings_.admin + ": " + problem;
 }
 
@@ -331,9 +326,12 @@
     groups_.push_back({operations.size(), std::move(done)});
     operations_.insert(operations_.end(), std::make_move_iterator(operations.begin()),
                        std::make_move_iterator(operations.end()));
+    schedule_flush(controller_.workers().size() < many_workers ? flush_delay : flush_delay_many);
+}
+
+void job_control::schedule_flush(time_ms delay) {
     if (std::exchange(flush_due_, true))
         return;
-    const auto delay = controller_.workers().size() < many_workers ? flush_delay : flush_delay_many;
     flush_timer_.expires_after(std::chrono::milliseconds(delay));
     flush_timer_.async_wait([this](boost::system::error_code error) {
         flush_due_ = false;
@@ -354,15 +352,8 @@
     if (!place) {
         const auto reason = std::get<consensus::refusal>(result);
         log_event(log_level::warning, "proposal_refused").field("reason", to_name(reason));
-        if (reason == consensus::refusal::overloaded) {
-            flush_due_ = true;
-            flush_timer_.expires_after(std::chrono::milliseconds(flush_retry));
-            flush_timer_.async_wait([this](boost::system::error_code error) {
-                flush_due_ = false;
-                if (!error && !stopped_)
-                    flush_operations();
-            });
-        }
+        if (reason == consensus::refusal::overloaded)
+            schedule_flush(flush_retry);
         return;
     }
     operations_.clear();
@@ -695,9 +686,9 @@
 http_pool& job_control::pool_for(const std::string& address, bool hold) {
     auto& pools = pools_[address];
     if (!pools.holds) {
-        pools.holds = std::make_shared<http_pool>(loop_, clock_, to_endpoint(address), 1);
-        pools.orders =
-            std::make_shared<http_pool>(loop_, clock_, to_endpoint(address), order_connections);
+        pools.holds = std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(address), 1);
+        pools.orders = std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(address),
+                                                   order_connections);
     }
     pools.used_at = clock_.now();
     return hold ? *pools.holds : *pools.orders;
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -80,6 +80,7 @@
     // `done` is called once the operations are committed, or never if leadership is lost.
     void propose(std::vector<workload::operation> operations,
                  std::function<void(const outcome&)> done);
+    void schedule_flush(time_ms delay);
     void flush_operations();
     void record_progress(const workload::command& value, const std::vector<bool>& accepted);
     void record_end(const std::string& id, time_ms at);
--- a/src/control/job_entry.cpp
+++ b/src/control/job_entry.cpp
@@ -1,9 +1,7 @@
 #include "control/job_entry.h"
 
-#include "base/ini.h"
 #include "base/log.h"
-
-#include <boost/asio/ip/address.hpp>
+#include "control/endpoint.h"
 
 #include <algorithm>
 #include <charconv>
@@ -36,11 +34,6 @@
 constexpr time_ms ms_per_second{1'000};
 constexpr std::size_t max_callers = 2'000;
 
-asio::ip::tcp::endpoint to_endpoint(const std::string& address) {
-    const auto text = parse_endpoint(address).value_or(endpoint_text{"0.0.0.0", 0});
-    return {asio::ip::make_address(text.address), text.port};
-}
-
 std::string last_segment(std::string_view target) {
     target = target.substr(0, target.find('?'));
     return std::string(target.substr(target.rfind('/') + 1));
@@ -93,7 +86,7 @@
     const std::pair<http_server&, const std::string&> servers[] = {
         {*callers_, settings_.listen}, {*ready_, settings_.ready}, {*admin_, settings_.admin}};
     for (const auto& [server, address] : servers) {
-        const auto problem = server.listen(to_endpoint(address));
+        const auto problem = server.listen(checked_tcp_endpoint(address));
         if (!problem.empty())
             return "cannot listen on " + address + ": " + problem;
     }
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -123,6 +123,7 @@
     };
 
     worker* worker_of(const worker_ref& ref);
+    worker* answering(const worker_ref& ref, std::uint64_t fence, order_answer answer);
     bool advised(const ready_step& item, const std::vector<worker*>& pool,
                  std::vector<worker*>& allowed, time_ms now);
     void ask_advice(const ready_step& item, const std::vector<worker*>& pool, advice& known);
@@ -145,7 +146,7 @@
     void issue_start(worker& on, live_run& run, time_ms now);
     void issue_stop(worker& on, live_run& run, time_ms now);
     void issue_holds(time_ms now);
-    std::vector<ready_step> ready_steps(time_ms now, time_ms wall) const;
+    std::vector<ready_step> ready_steps(time_ms wall) const;
     void place(time_ms now, time_ms wall);
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-std::vector<controller::ready_step> controller::ready_steps(time_ms now, time_ms wall) const {
+std::vector<controller::ready_step> controller::ready_steps(time_ms wall) const {
     std::vector<ready_step> out;
     for (const auto& [id, open] : table_.open_jobs()) {
         const auto& item = *open;
@@ -58,7 +58,6 @@
             }
         }
     }
-    (void)now;
     const auto rank = [](const ready_step& step) {
         return std::tuple(!step.lasting, step.hopeless, !step.begun, step.slack);
     };
@@ -179,7 +178,7 @@
 }
 
 void controller::place(time_ms now, time_ms wall) {
-    const auto steps = ready_steps(now, wall);
+    const auto steps = ready_steps(wall);
     blocked_.clear();
     if (steps.empty())
         return;
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -252,15 +252,22 @@
         .field("for_ms", health.shun_for);
 }
 
+// The worker that an answer is about; nullptr if it is out of date or another life has answered.
+worker* controller::answering(const worker_ref& ref, std::uint64_t fence, order_answer answer) {
+    auto* on = worker_of(ref);
+    if (!on || fence != fence_)
+        return nullptr;
+    if (answer != order_answer::other_life)
+        return on;
+    forget_life(*on, "another life answered");
+    drop_worker(ref.id);
+    return nullptr;
+}
+
 void controller::observe(const start_order& order, order_answer answer, time_ms now) {
-    auto* on = worker_of(order.worker);
-    if (!on || order.fence != fence_)
+    auto* on = answering(order.worker, order.fence, answer);
+    if (!on)
         return;
-    if (answer == order_answer::other_life) {
-        forget_life(*on, "another life answered");
-        drop_worker(order.worker.id);
-        return;
-    }
     auto* run = on->find(order.task, order.run);
     if (!run)
         return;
@@ -296,14 +303,9 @@
 }
 
 void controller::observe(const stop_order& order, order_answer answer, time_ms now) {
-    auto* on = worker_of(order.worker);
-    if (!on || order.fence != fence_)
+    auto* on = answering(order.worker, order.fence, answer);
+    if (!on)
         return;
-    if (answer == order_answer::other_life) {
-        forget_life(*on, "another life answered");
-        drop_worker(order.worker.id);
-        return;
-    }
     auto* run = on->find(order.task, order.run);
     if (!run)
         return;
@@ -315,10 +317,8 @@
 }
 
 void controller::observe(const pace_order& order, order_answer answer, time_ms) {
-    auto* on = worker_of(order.worker);
-    if (!on || order.fence != fence_)
-        return;
-    auto* run = on->find(order.task, order.run);
+    auto* on = answering(order.worker, order.fence, answer);
+    auto* run = on ? on->find(order.task, order.run) : nullptr;
     if (!run)
         return;
     run->pace_under_way = false;
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -112,6 +112,8 @@
             replaced(good_announcement, "\"State\":\"ready\"", "\"State\":\"dancing\""),
             replaced(good_announcement, "\"Service\":\"s1\",", ""),
             replaced(good_announcement, "\"Address\":\"10.0.0.9:80\"", "\"Address\":5"),
+            replaced(good_announcement, "10.0.0.9:80", "worker.example:80"),
+            replaced(good_announcement, "10.0.0.9:80", "10.0.0.9"),
             replaced(good_announcement, "\"Cpu\":16000", "\"Cpu\":\"many\""),
             replaced(good_announcement, "\"Labels\":[\"a\",\"r1-3\"]", "\"Labels\":[1]"),
             "\xff\xfe",
