--- a/tests/jobs/standin_worker.cpp
+++ b/tests/jobs/standin_worker.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr time_ms tick_interval{10};
-constexpr time_ms announce_interval{300};
 constexpr int whole_percent = 100;
 constexpr unsigned status_conflict = 409;
 constexpr unsigned status_ok = 200;
@@ -84,14 +82,14 @@
                                             : announced_},
                             {"Zone", "z"},
                             {"State", "ready"},
-                            {"Capacity", json::object{{"Cpu", 4000}, {"MemMb", 4096}, {"Gpu", 0}}},
+                            {"Capacity", json::object{{"Cpu", options_.cpu}, {"MemMb", 4096}, {"Gpu", 0}}},
                             {"Labels", json::array{"a", "r1"}},
                             {"ClockMs", now()},
                             {"Sequence", ++sequence_},
                             {"born", born_}};
     auto& control = *controls_[next_control_ % controls_.size()];
     control.request({"PUT", "/clementineroad/instances/" + options_.id, {}, json::serialize(body)},
-                    announce_interval, [this](const http_result& result) {
+                    options_.announce, [this](const http_result& result) {
                         if (result.failure || result.status != status_ok)
                             ++next_control_;
                     });
@@ -100,7 +98,7 @@
 void standin_worker::tick() {
     if (stopped_)
         return;
-    if (now() - announced_at_ >= announce_interval)
+    if (now() - announced_at_ >= options_.announce)
         announce();
     std::vector<std::pair<std::string, const char*>> over;
     for (const auto& [task, item] : runs_) {
@@ -120,7 +118,7 @@
         answer_hold(holds_[i]);
         holds_.erase(holds_.begin() + static_cast<std::ptrdiff_t>(i));
     }
-    timer_.expires_after(std::chrono::milliseconds(tick_interval));
+    timer_.expires_after(std::chrono::milliseconds(options_.tick));
     timer_.async_wait([this](boost::system::error_code error) {
         if (!error)
             tick();
--- a/tests/process_soak/process_fleet.cpp
+++ b/tests/process_soak/process_fleet.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace clementine::process_soak {
 
@@ -137,6 +138,23 @@
     return true;
 }
 
+time_ms process_fleet::processor_time(const std::string& name) const {
+    const auto at = pids_.find(name);
+    if (at == pids_.end())
+        return 0;
+    // The 14th and 15th fields are the ticks spent in user and in kernel mode.
+    constexpr int user_ticks = 14;
+    std::ifstream file("/proc/" + std::to_string(at->second) + "/stat");
+    std::string skipped;
+    for (int i = 1; i < user_ticks; ++i)
+        file >> skipped;
+    time_ms user = 0;
+    time_ms kernel = 0;
+    file >> user >> kernel;
+    constexpr time_ms ms_per_second = 1'000;
+    return (user + kernel) * ms_per_second / ::sysconf(_SC_CLK_TCK);
+}
+
 void process_fleet::wipe(const std::string& name) const {
     std::filesystem::remove_all(layout_.folder + "/" + name);
 }
--- a/tests/process_soak/process_fleet.h
+++ b/tests/process_soak/process_fleet.h
@@ -2,6 +2,8 @@
 // restarts them by signals. Ends only what it started, by process id.
 #pragma once
 
+#include "base/clock.h"
+
 #include <map>
 #include <string>
 #include <sys/types.h>
@@ -42,6 +44,8 @@
     // True if the process has ended without being told to.
     bool has_ended(const std::string& name);
     bool is_running(const std::string& name) const { return pids_.contains(name); }
+    // Processor time that a process has used so far; 0 if it does not run.
+    time_ms processor_time(const std::string& name) const;
     void wipe(const std::string& name) const;
 
   private:
