Let waves go on without VMs that were emptied and taken away; date holders on restart

Also: on a restart the announcements of other holders are read again; their age is then the wall clock's less 4 s for jumps, so that VMs ordered long ago are free at once.

Test: fleet_test::wave_does_not_wait_for_a_vm_that_was_taken_away failed first.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -265,7 +265,7 @@
     outcome result;
     if (value) {
         result = table_.apply(*value, item.term);
-        controller_.applied(*value, clock_.now());
+        controller_.applied(*value, clock_.now(), wall_clock_ms());
         record_progress(*value, *result);
     } else
         log_event(log_level::error, "command_unreadable").field("index", std::uint64_t{item.index});
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -40,7 +40,7 @@
     lead_since_ = now;
     inherit_runs(now);
     inherit_load(now, wall);
-    vms_.lead(fence, now);
+    vms_.lead(fence, now, wall);
 }
 
 void controller::stop_leading() {
@@ -183,6 +183,7 @@
     if (at == workers_.end() || at->second.leaving)
         return;
     log_event(log_level::info, "worker_leaves").field("worker", id);
+    vms_.observe_leave(id);
     at->second.leaving = true;
     at->second.draining = true;
     at->second.leaving_since = now;
@@ -250,10 +251,10 @@
         lose(gone, key);
 }
 
-void controller::applied(const command& value, time_ms now) {
+void controller::applied(const command& value, time_ms now, time_ms wall) {
     for (const auto& item : value.operations) {
         if (const auto* announced = std::get_if<order_vm>(&item))
-            vms_.applied(*announced, now);
+            vms_.applied(*announced, value.at, now, wall);
     }
 }
 
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -84,9 +84,8 @@
     void observe(const upkeep_order& order, order_answer answer, time_ms now);
     void observe(const list_vms_order& order, const std::vector<vm_report>& vms,
                  order_answer answer, time_ms now);
-    // A command was applied, on any replica: orders about VMs that other nodes announced count from
-    // now on.
-    void applied(const command& value, time_ms now);
+    // A command was applied by this replica, whether it leads or not.
+    void applied(const command& value, time_ms now, time_ms wall);
     // A job was offered, whether it is taken or not.
     void offered(const queue_config& queue, const std::string& id, const job_spec& spec,
                  time_ms now);
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -12,7 +12,7 @@
 using reader = consensus::byte_reader;
 
 // First byte of a saved table; raised with each incompatible change.
-constexpr std::uint8_t table_format = 2;
+constexpr std::uint8_t table_format = 1;
 
 template <class Items, class Write>
 void write_list(writer& out, const Items& items, Write write) {
@@ -417,7 +417,8 @@
     put(out, config_);
     write_list(out, holders_, [&](const auto& item) {
         out.text(item.first);
-        out.text(item.second);
+        out.text(item.second.node);
+        put(out, item.second.at);
     });
     write_list(out, jobs_, [&](const auto& item) { put(out, item.second); });
     write_list(out, open_, [&](const auto& item) { out.text(item.first); });
@@ -446,8 +447,9 @@
         loaded.config_ = take_configuration(in);
         loaded.config_.index();
         read_list(in, [&] {
-            auto vm = in.text();
-            loaded.holders_[std::move(vm)] = in.text();
+            auto& holder = loaded.holders_[in.text()];
+            holder.node = in.text();
+            holder.at = take_time(in);
         });
         read_list(in, [&] {
             auto item = take_job(in);
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -226,7 +226,7 @@
 }
 
 bool job_table::on(const order_vm& op) {
-    holders_[op.vm] = op.node;
+    holders_[op.vm] = {op.node, now_};
     return true;
 }
 
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -76,6 +76,12 @@
     bool completed() const;
 };
 
+// The node that gave the last order about a VM.
+struct vm_holder {
+    std::string node;
+    time_ms at{0}; // wall clock of that node
+};
+
 // Commands. Each names the outcome that its proposer wants; `apply` checks that it still holds.
 struct put_configuration {
     configuration value;
@@ -150,8 +156,7 @@
     // Jobs that have not ended, and ended ones with assigned runs, by id.
     const std::map<std::string, const job*>& open_jobs() const { return open_; }
     const std::map<std::uint64_t, wave>& waves() const { return waves_; }
-    // The node that announced the last order about a VM, by VM.
-    const std::map<std::string, std::string>& vm_holders() const { return holders_; }
+    const std::map<std::string, vm_holder>& vm_holders() const { return holders_; }
 
     std::string save() const;
     // False if the bytes are no saved state; the table is then unchanged. Empty bytes reset it.
@@ -181,7 +186,7 @@
     std::map<std::string, const job*> open_; // into `jobs_`, whose nodes stay where they are
     std::map<time_ms, std::vector<std::string>> ended_; // by end time
     std::map<std::uint64_t, wave> waves_;
-    std::map<std::string, std::string> holders_;
+    std::map<std::string, vm_holder> holders_;
     time_ms now_{0};         // of the command that is applied
     std::uint64_t term_ = 0; // of the command that is applied
 };
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -17,6 +17,8 @@
 constexpr time_ms list_after_order{300};
 constexpr time_ms list_retry{400};
 constexpr time_ms pool_log_interval{500};
+// Wall clocks of two nodes may differ by this much while one of them has jumped.
+constexpr time_ms wall_clock_error{4'000};
 // An order may leave its node this long after its announcement was applied here: the commit is
 // known to the leader first, and links between our nodes are given up after 1.3 s of silence.
 constexpr time_ms holder_margin{400};
@@ -32,6 +34,8 @@
 // A VM that the platform has not listed for this long has been taken away; crashed VMs
 // are back within 10 s.
 constexpr time_ms unlisted_limit{15'000};
+// The same if its worker had said that it ends: it was emptied to be taken away.
+constexpr time_ms unlisted_limit_after_leave{4'000};
 // Spare processor of a pool that is kept for stray jobs, in thousandths of a core.
 constexpr std::int64_t least_wanted{8'000};
 
@@ -61,24 +65,32 @@
 vm_manager::vm_manager(const job_table& table, vm_settings settings)
     : table_(table), settings_(std::move(settings)) {}
 
-void vm_manager::lead(std::uint64_t fence, time_ms now) {
+void vm_manager::lead(std::uint64_t fence, time_ms now, time_ms wall) {
     fence_ = fence;
     vms_.clear();
     list_under_way_ = false;
     listed_at_ = first_listed_at_ = 0;
     list_due_at_ = now;
-    // What was restored from disk or a snapshot may have been announced a moment ago.
-    for (const auto& [vm, node] : table_.vm_holders()) {
-        if (node != settings_.node)
-            announced_by_others_.try_emplace(vm, now);
+    // A restored snapshot was never applied command by command.
+    for (const auto& [vm, holder] : table_.vm_holders()) {
+        if (holder.node != settings_.node && !announced_by_others_.contains(vm))
+            applied({vm, holder.node}, holder.at, now, wall);
     }
 }
 
-void vm_manager::applied(const order_vm& announced, time_ms now) {
-    if (announced.node == settings_.node)
+void vm_manager::applied(const order_vm& announced, time_ms at, time_ms now, time_ms wall) {
+    if (announced.node == settings_.node) {
         announced_by_others_.erase(announced.vm);
-    else
-        announced_by_others_[announced.vm] = now;
+        return;
+    }
+    // Commands are applied when they are committed, or long after when a log is read again.
+    const auto passed = std::max<time_ms>(0, wall - at - wall_clock_error);
+    announced_by_others_[announced.vm] = now - passed;
+}
+
+void vm_manager::observe_leave(const std::string& worker) {
+    for (auto& [name, item] : vms_)
+        item.worker_left = item.worker_left || item.last_worker == worker;
 }
 
 // Tells the log about an order before it is given.
@@ -130,8 +142,10 @@
                 .field("unlisted_ms", item.listed_at == 0 ? time_ms{0} : now - item.listed_at);
         const bool busy = item.order_under_way || now - item.ordered_at < list_after_order;
         item.report = report;
-        if (!report.worker.empty())
+        if (!report.worker.empty() && report.worker != item.last_worker) {
             item.last_worker = report.worker;
+            item.worker_left = false;
+        }
         item.listed_at = now;
         if (busy || report.state != vm_state::up)
             continue;
@@ -156,6 +170,7 @@
     if (answer == order_answer::no_answer)
         return false; // repeated until it is clear
     item.moving_to.reset();
+    item.retry_at = now + order_retry;
     if (answer == order_answer::invalid)
         refused_.emplace(order.vm, order.pool);
     return false;
@@ -174,8 +189,10 @@
         item.ordered_at = now;
         return true;
     }
-    if (answer != order_answer::no_answer)
+    if (answer != order_answer::no_answer) {
         item.upkeep_wave = 0;
+        item.retry_at = now + order_retry;
+    }
     return false;
 }
 
@@ -193,7 +210,7 @@
 // True if nothing runs on a VM, as far as anybody knows, and nothing is about to.
 bool vm_manager::is_idle(const managed_vm& item, const worker_map& workers, time_ms now) const {
     if (item.report.state != vm_state::up || item.order_under_way || item.moving_to ||
-        item.upkeep_wave != 0 || held_by_other(item.report.vm, now) ||
+        item.upkeep_wave != 0 || now < item.retry_at || held_by_other(item.report.vm, now) ||
         now - item.listed_at > 2 * list_interval)
         return false;
     if (item.report.worker.empty())
@@ -331,12 +348,17 @@
         }
         if (phase == upkeep_phase::done)
             continue;
-        if (listed_at_ - vm.listed_at > unlisted_limit) {
+        const auto limit = vm.worker_left ? unlisted_limit_after_leave : unlisted_limit;
+        if (listed_at_ - vm.listed_at > limit) {
             give_up_upkeep(item, name, log);
             continue;
         }
+        // The platform declines orders about VMs that are emptied or not listed any more.
+        const auto* on = worker_of(vm, workers);
+        if (vm.listed_at != listed_at_ || (on && on->draining))
+            continue;
         if (vm.report.state == vm_state::up && !vm.moving_to && !vm.order_under_way &&
-            !held_by_other(name, now))
+            now >= vm.retry_at && !held_by_other(name, now))
             due.push_back(&vm);
     }
     if (due.empty() || down >= item.order.cap)
--- a/src/workload/vm_manager.h
+++ b/src/workload/vm_manager.h
@@ -38,6 +38,8 @@
     std::optional<std::string> moving_to; // until the list shows it there
     std::uint64_t upkeep_wave = 0;        // ordered and not back yet; 0: none
     std::string last_worker;              // listed there last, also if it is gone
+    bool worker_left = false;             // that worker said that it ends
+    time_ms retry_at{0};                  // the platform declined an order
     time_ms idle_since{0};                // 0: not idle
     time_ms listed_at{0};
 };
@@ -46,7 +48,7 @@
   public:
     vm_manager(const job_table& table, vm_settings settings);
 
-    void lead(std::uint64_t fence, time_ms now);
+    void lead(std::uint64_t fence, time_ms now, time_ms wall);
     void observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now);
     // True if everything on the VM's worker has ended.
     bool observe(const move_order& order, order_answer answer, time_ms now);
@@ -55,8 +57,11 @@
     std::string worker_on(const std::string& vm) const;
     // The same when it was last listed with one.
     std::string last_worker_on(const std::string& vm) const;
-    // The announcement of an order, by whatever node, was applied by this replica.
-    void applied(const order_vm& announced, time_ms now);
+    // An announcement of an order, made at `at` of the leader's wall clock, was applied by this
+    // replica.
+    void applied(const order_vm& announced, time_ms at, time_ms now, time_ms wall);
+    // A worker said that it ends.
+    void observe_leave(const std::string& worker);
     // The announcement of an order is in the log.
     void committed(const order_vm& announced, time_ms now, std::vector<order>& orders);
 
@@ -100,7 +105,7 @@
     std::map<std::string, managed_vm> vms_;
     std::set<std::string> standby_pools() const;
     std::set<std::pair<std::string, std::string>> refused_; // VM and pool that do not match
-    // VMs that another node announced orders about, and when this replica saw it.
+    // VMs that another node announced orders about, and the latest time at which that was.
     std::map<std::string, time_ms> announced_by_others_;
     bool list_under_way_ = false;
     time_ms listed_at_{0};
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -488,7 +488,18 @@
 }
 
 void fake_fleet::call_vm(const upkeep_order& value) {
-    auto& item = vms_.at(value.vm);
+    const auto found = vms_.find(value.vm);
+    const bool leaving = found == vms_.end() || (workers_.contains(found->second.worker) &&
+                                                 workers_.at(found->second.worker).draining);
+    if (leaving) {
+        ++declined_;
+        at(now_ + one_way, [this, value, term = term_] {
+            if (term == term_)
+                controller_->observe(value, order_answer::busy, now_);
+        });
+        return;
+    }
+    auto& item = found->second;
     auto answer = order_answer::busy;
     if (value.fence < vm_fence_)
         violation("a VM order with an old fence");
@@ -546,7 +557,7 @@
 void fake_fleet::announce_elsewhere(const std::string& vm, const std::string& node) {
     const command value{now_, {order_vm{vm, node}}};
     table_.apply(value, term_);
-    controller_->applied(value, now_);
+    controller_->applied(value, now_, now_);
 }
 
 void fake_fleet::lose_power(const std::string& worker, time_ms span) {
@@ -557,6 +568,15 @@
     vm.back_at = now_ + span;
 }
 
+void fake_fleet::take_away(const std::string& worker, time_ms span) {
+    workers_.at(worker).draining = true;
+    at(now_ + span, [this, worker, vm = workers_.at(worker).vm] {
+        controller_->observe_leave(worker, now_);
+        end_worker(worker);
+        vms_.erase(vm);
+    });
+}
+
 void fake_fleet::set_dark(const std::string& worker, bool dark) {
     workers_.at(worker).dark = dark;
 }
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -101,6 +101,9 @@
     int upkeeps() const { return upkeeps_; }
     // Real time of a decision, for benchmarks.
     double mean_round_us() const;
+    // The worker's VM is emptied and taken away after a while.
+    void take_away(const std::string& worker, time_ms span);
+    int declined() const { return declined_; } // VM orders answered as busy
     // Log entries of this replica that its leader has not announced itself.
     void announce_elsewhere(const std::string& vm, const std::string& node);
     bool idle_leader = false; // no leader acts
@@ -152,6 +155,7 @@
     int next_worker_ = 0;
     int next_port_ = 1;
     int moves_ = 0;
+    int declined_ = 0;
     int advice_calls_ = 0;
     int upkeeps_ = 0;
     std::int64_t rounds_ = 0;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_away);
     CPPUNIT_TEST(wave_is_done_in_time);
     CPPUNIT_TEST(wave_is_not_done_while_vms_are_not_listed);
+    CPPUNIT_TEST(wave_does_not_wait_for_a_vm_that_was_taken_away);
     CPPUNIT_TEST(vms_follow_a_surge);
     CPPUNIT_TEST(tasks_of_a_vm_without_power_start_again_before_its_lease_ends);
     CPPUNIT_TEST(worker_that_leaves_a_start_unanswered_gets_no_more);
@@ -146,6 +147,27 @@
         CPPUNIT_ASSERT(!wave.completed() || fleet.upkeeps() == 2);
     }
 
+    // A VM that was emptied and taken away in a wave was waited for like a crashed one, past the
+    // end of the wave, and asked to go down ten times a second meanwhile.
+    void wave_does_not_wait_for_a_vm_that_was_taken_away() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_lasting_step(4, 2'000, 1))));
+        fleet.run_for(2'000);
+        wave_order order{1, {}, 14'000, 2};
+        std::string leaving;
+        for (const auto& [id, item] : fleet.workers()) {
+            order.vms.push_back(item.vm);
+            leaving = id;
+        }
+        fleet.take_away(leaving, 4'000);
+        fleet.order_wave(order);
+        fleet.run_for(14'000);
+        CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        CPPUNIT_ASSERT(fleet.declined() <= 8);
+        assert_clean(fleet);
+    }
+
     static int served_in_surge(bool vm_orders, fake_fleet& fleet) {
         fleet.run_for(8'000); // the VMs rest
         for (int i = 0; i < 200; ++i) {
--- a/tests/workload/job_table_test.cpp
+++ b/tests/workload/job_table_test.cpp
@@ -171,7 +171,7 @@
         CPPUNIT_ASSERT(loaded.save() == table_.save());
         CPPUNIT_ASSERT(loaded.find_job("j1")->spec == table_.find_job("j1")->spec);
         CPPUNIT_ASSERT_EQUAL(std::string("c"), loaded.find_task({"j1", 0, 0, 0})->checkpoint);
-        CPPUNIT_ASSERT_EQUAL(std::string("n1"), loaded.vm_holders().at("m1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("n1"), loaded.vm_holders().at("m1").node);
         CPPUNIT_ASSERT_EQUAL(1.6, loaded.config().queues[0].stretch);
     }
 
