Let callers wait for an election, and refuse at once when none will help

Cause: an entry node refused 0.5 s after the leader was lost; callers came back a second later, when the next leader (0.8 to 1.4 s) had long been there. In a longer outage each caller was still held for 0.5 s although nothing could come of it. Change: a request waits up to 1.4 s for a leader, and not at all once the last one was seen 1.7 s ago. Test: cluster_test::caller_waits_for_an_election failed first (503 for 200); caller_does_not_wait_for_a_lost_majority bounds the refusal to 0.2 s.

--- a/src/control/job_entry.cpp
+++ b/src/control/job_entry.cpp
@@ -19,9 +19,11 @@
 constexpr time_ms max_answer_time{2'500};
 // The answer must reach the caller before it gives up.
 constexpr time_ms answer_margin{150};
-// A request that no control node can take is refused after this time. A planned handover takes some
-// 100 ms, an election about 1 s; waiting for half of that costs a caller less than coming back.
-constexpr time_ms wait_for_leader{500};
+// A request that no control node can take waits for a leader this long. An election takes 0.8 to
+// 1.4 s; a caller that is refused comes back after a second or more.
+constexpr time_ms wait_for_leader{1'400};
+// A leader that was last seen longer ago has no successor soon: more is wrong than its loss.
+constexpr time_ms longest_election{1'700};
 // After a refusal for want of a leader.
 constexpr time_ms retry_without_leader{1'000};
 // Other entry nodes lack a leader as well, so this one stays in rotation for this long without one.
@@ -106,7 +108,7 @@
     call.host = std::string(request[http::field::host]);
     call.target = std::string(request.target());
     call.body = request.body();
-    route_limits limits{max_answer_time, wait_for_leader};
+    route_limits limits{max_answer_time, wait_for_leader, longest_election};
     const auto header = request[settings_.deadline_header];
     time_ms wait = 0;
     if (std::from_chars(header.data(), header.data() + header.size(), wait).ec == std::errc{} &&
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 #include <vector>
@@ -32,6 +33,8 @@
     item.arrived = now;
     item.deadline = now + limits.total;
     item.leader_deadline = now + limits.without_leader;
+    if (limits.election > 0)
+        item.leader_deadline = std::min(item.leader_deadline, leader_seen_ + limits.election);
     item.done = std::move(done);
     attempt(item);
 }
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -37,6 +37,7 @@
 struct route_limits {
     time_ms total{0};          // from the arrival of the request to the answer "unknown"
     time_ms without_leader{0}; // wait for a leader before the answer "not run"
+    time_ms election{0};       // no leader for longer: none is waited for; 0: no such limit
 };
 
 class leader_router {
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -35,6 +35,8 @@
     CPPUNIT_TEST(lost_disk_is_replaced_among_spares);
     CPPUNIT_TEST(entry_finds_the_leader_through_a_spare);
     CPPUNIT_TEST(entry_without_links_is_not_ready);
+    CPPUNIT_TEST(caller_waits_for_an_election);
+    CPPUNIT_TEST(caller_does_not_wait_for_a_lost_majority);
     CPPUNIT_TEST(resend_during_the_commit_is_not_refused);
     CPPUNIT_TEST(cancel_during_the_commit_takes_effect);
     CPPUNIT_TEST_SUITE_END();
@@ -138,6 +140,14 @@
   public:
     void setUp() override { std::filesystem::remove_all(TEST_DATA_FOLDER); }
 
+    // A failed test must not leave nodes behind on the addresses of the next.
+    void tearDown() override {
+        for (auto& [number, node] : nodes_)
+            node->stop();
+        if (!nodes_.empty())
+            run_for(200);
+    }
+
     void whole_path() {
         for (int node = 1; node <= 3; ++node) {
             std::filesystem::create_directories(folder(node));
@@ -334,6 +344,42 @@
         run_for(200);
     }
 
+    int leading_node() {
+        for (const auto& [number, node] : nodes_) {
+            const auto text = call(address(number, admin_port), {"GET", "/metrics", {}, {}}).body;
+            if (text.find("clementine_replica_leader{} 1") != std::string::npos ||
+                text.find("clementine_replica_leader 1") != std::string::npos)
+                return number;
+        }
+        CPPUNIT_FAIL("no node leads");
+        return 0;
+    }
+
+    // Callers were refused 0.5 s after the loss of the leader, and came back when the next one had
+    // long been there.
+    void caller_waits_for_an_election() {
+        const auto entry = start_small_cluster();
+        const auto leader = leading_node();
+        kill_node(leader);
+        const auto post = request("POST", "00000000000000d1", long_job);
+        CPPUNIT_ASSERT_EQUAL(200U, call(address(9, callers_port), post).status);
+        stop_small_cluster(*entry);
+    }
+
+    // With the majority gone there is no leader to wait for: a refusal comes at once.
+    void caller_does_not_wait_for_a_lost_majority() {
+        const auto entry = start_small_cluster();
+        const auto leader = leading_node();
+        kill_node(leader);
+        kill_node(leader == 1 ? 2 : 1);
+        run_for(2'000);
+        const auto before = clock_.now();
+        const auto post = request("POST", "00000000000000d2", long_job);
+        CPPUNIT_ASSERT_EQUAL(503U, call(address(9, callers_port), post).status);
+        CPPUNIT_ASSERT(clock_.now() - before < 200);
+        stop_small_cluster(*entry);
+    }
+
     // Statuses of two calls; the second is sent while the first is being committed.
     std::pair<unsigned, unsigned> call_both(const http_call& first, const http_call& second) {
         const auto front = parse_endpoint(address(9, callers_port));
