--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -18,7 +18,7 @@
 constexpr time_ms list_retry{400};
 constexpr time_ms pool_log_interval{500};
 // Wall clocks of two nodes may differ by this much while one of them has jumped.
-constexpr time_ms wall_clock_error{4'000};
+constexpr time_ms wall_clock_error{2'600};
 // An order may leave its node this long after its announcement was applied here: the commit is
 // known to the leader first, and links between our nodes are given up after 1.3 s of silence.
 constexpr time_ms holder_margin{400};
