Ask again whether this node leads when an order about a VM is about to leave

What waits in the queue of the connections to the platform, or for a commit whose answers were already in the socket, left without another look at the lease. Change: a request can carry a condition that is asked when it is about to be written; orders to the platform carry the lease and the term.

--- a/src/control/http_pool.cpp
+++ b/src/control/http_pool.cpp
@@ -42,6 +42,7 @@
 
     void send(waiting item) {
         done_ = std::move(item.done);
+        permitted_ = std::move(item.call.permitted);
         serialize(std::move(item.call));
         result_ = {};
         result_.sent_at = pool_->clock_.now();
@@ -102,6 +103,11 @@
 
     // Nearly always the socket takes all at once, which saves a turn of the loop.
     void write() {
+        if (permitted_ && !permitted_()) {
+            asio::post(socket_.get_executor(),
+                       [self = shared_from_this()] { self->fail(call_failure::refused); });
+            return;
+        }
         boost::system::error_code error;
         const auto written = socket_.write_some(asio::buffer(text_), error);
         if (!error && written == text_.size())
@@ -164,6 +170,7 @@
     std::optional<http::response_parser<http::string_body>> parser_;
     http_result result_;
     done_handler done_;
+    std::function<bool()> permitted_;
     time_ms deadline_{0};
     bool timed_out_ = false;
     bool connected_ = false;
--- a/src/control/http_pool.h
+++ b/src/control/http_pool.h
@@ -24,6 +24,8 @@
     std::string target;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body; // JSON if not empty
+    // Asked when the request is about to leave; if false, it ends as `refused`. Empty: always.
+    std::function<bool()> permitted = nullptr;
 };
 
 // Why there is no response.
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -769,7 +769,13 @@
     if (!vms_)
         return;
     const auto encoded = protocol_.encode_order(value, settings_.node, page);
-    vms_->request({encoded.method, encoded.target, encoded.headers, encoded.body}, order_limit,
+    // A node that was frozen with orders in its queue has a successor when it wakes up, and the
+    // platform may not check fences.
+    const auto leads = [this, term = log_->term()] {
+        return log_->serving() && log_->term() == term;
+    };
+    vms_->request({encoded.method, encoded.target, encoded.headers, encoded.body, leads},
+                  order_limit,
                   [this, value = std::move(value),
                    vms = std::move(vms)](const http_result& exchange) mutable {
                       order_result result;
