Allow for a second round in the test of callers during an election

The refusal came at the end of the wait, so the election had not ended: two replicas that both wait for the promise to the lost leader may need a second round, which the design allows (docs/platform.md). Change: 200, or 503 not before 1.3 s. The old behaviour still fails.

--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -356,13 +356,18 @@
     }
 
     // Callers were refused 0.5 s after the loss of the leader, and came back when the next one had
-    // long been there.
+    // long been there. An election that needs a second round may outlast the wait of 1.4 s.
     void caller_waits_for_an_election() {
         const auto entry = start_small_cluster();
         const auto leader = leading_node();
         kill_node(leader);
         const auto post = request("POST", "00000000000000d1", long_job);
-        CPPUNIT_ASSERT_EQUAL(200U, call(address(9, callers_port), post).status);
+        constexpr time_ms wait_of_callers{1'300};
+        const auto before = clock_.now();
+        const auto status = call(address(9, callers_port), post).status;
+        const auto took = clock_.now() - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(status) + " after " + std::to_string(took) + " ms",
+                               status == 200 || (status == 503 && took >= wait_of_callers));
         stop_small_cluster(*entry);
     }
 
