Fill log entries up to their limit instead of refusing a batch for good

Cause: the leader batched all waiting operations into one log entry. Two configurations of 1,400 routes in one batch exceed the 512 KiB of an entry; the log refused it as too large, the batch stayed at the head of the queue, and every later operation was refused with it until the leader was lost. Class of fault: an unbounded batch before a bounded record, and an element at the head of a queue that can never be processed. Change: proposal_queue fills an entry up to its limit, spreads a group over several entries, and rejects an operation that exceeds an entry on its own (413). The proposals of a round still share an entry when they fit.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -52,6 +52,7 @@
 constexpr unsigned status_bad_request = 400;
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_gone = 410;
+constexpr unsigned status_payload_too_large = 413;
 constexpr unsigned status_unavailable = 503;
 constexpr unsigned status_gateway_timeout = 504;
 
@@ -327,13 +328,16 @@
                         static_cast<double>(at - job->accepted_at));
 }
 
-void job_control::propose(std::vector<operation> operations,
-                          std::function<void(const command_outcome&)> done) {
-    operation_groups_.push_back({operations.size(), std::move(done)});
-    queued_operations_.insert(queued_operations_.end(), std::make_move_iterator(operations.begin()),
-                              std::make_move_iterator(operations.end()));
+bool job_control::propose(const std::vector<operation>& operations,
+                          proposal_queue::done_handler done) {
+    if (!proposals_.push(operations, std::move(done))) {
+        log_event(log_level::error, "operation_too_large")
+            .field("limit", std::uint64_t{consensus::max_entry_bytes});
+        return false;
+    }
     schedule_flush(controller_.workers().size() < large_fleet_workers ? flush_delay
                                                                       : flush_delay_many_workers);
+    return true;
 }
 
 void job_control::schedule_flush(time_ms delay) {
@@ -347,35 +351,21 @@
     });
 }
 
-// Proposes all queued operations as one log entry, because each entry costs a message per replica.
 void job_control::flush_operations() {
-    if (operation_groups_.empty())
-        return;
-    command batch;
-    batch.proposed_at = wall_clock_ms();
-    batch.operations = queued_operations_;
-    const auto result = log_->propose(encode(batch));
-    const auto* position = std::get_if<consensus::log_position>(&result);
-    if (!position) {
-        const auto reason = std::get<consensus::refusal>(result);
-        log_event(log_level::warning, "proposal_refused").field("reason", to_name(reason));
-        if (reason == consensus::refusal::overloaded)
-            schedule_flush(flush_retry_delay);
-        return;
-    }
-    queued_operations_.clear();
-    auto done = [groups = std::exchange(operation_groups_, {})](const command_outcome& result) {
-        std::size_t at = 0;
-        for (const auto& group : groups) {
-            command_outcome part;
-            if (result)
-                part.emplace(result->begin() + static_cast<std::ptrdiff_t>(at),
-                             result->begin() + static_cast<std::ptrdiff_t>(at + group.size));
-            at += group.size;
-            group.done(part);
+    while (!proposals_.empty()) {
+        const auto result = log_->propose(proposals_.next_entry(wall_clock_ms()));
+        const auto* position = std::get_if<consensus::log_position>(&result);
+        if (!position) {
+            const auto reason = std::get<consensus::refusal>(result);
+            log_event(log_level::warning, "proposal_refused").field("reason", to_name(reason));
+            // Otherwise this node no longer leads; check_leadership drops the operations.
+            if (reason == consensus::refusal::overloaded)
+                schedule_flush(flush_retry_delay);
+            return;
         }
-    };
-    pending_commands_.emplace(position->index, pending_command{position->term, std::move(done)});
+        pending_commands_.emplace(position->index,
+                                  pending_command{position->term, proposals_.pop()});
+    }
 }
 
 void job_control::check_leadership() {
@@ -386,8 +376,7 @@
         controller_.stop_leading();
         // The next leader decides about them; waiting clients retry there.
         pending_commands_.clear();
-        operation_groups_.clear();
-        queued_operations_.clear();
+        proposals_.clear();
         submissions_.clear();
     }
     if (serving && !controller_.leading()) {
@@ -523,7 +512,7 @@
         return reply(make_reply(request.id, status_unavailable, {}, decision.retry_after));
     submissions_[id].push_back({request.id, reply});
     submit_job op{id, queue.name, queue.pool, queue.attempts, std::move(*spec)};
-    propose({std::move(op)}, [this, id](const command_outcome& result) {
+    const bool proposed = propose({std::move(op)}, [this, id](const command_outcome& result) {
         const auto callers = submissions_.extract(id);
         if (!result || callers.empty())
             return; // the callers retry with the next leader
@@ -531,6 +520,10 @@
             caller.reply(make_reply(caller.request_id, status_ok));
         request_round();
     });
+    if (!proposed) {
+        submissions_.erase(id);
+        reply(make_reply(request.id, status_payload_too_large));
+    }
 }
 
 void job_control::cancel(const std::string& id, const wire::call& request,
@@ -580,14 +573,17 @@
             .field("version", table_.config().version);
         return reply(make_reply(id, status_ok));
     }
-    propose({put_configuration{request.value}},
-            [this, reply, id, version](const command_outcome& result) {
-                if (!result)
-                    return;
-                log_event(log_level::info, "configuration_in_force").field("version", version);
-                reply(make_reply(id, status_ok));
-                request_round();
-            });
+    const bool proposed =
+        propose({put_configuration{request.value}},
+                [this, reply, id, version](const command_outcome& result) {
+                    if (!result)
+                        return;
+                    log_event(log_level::info, "configuration_in_force").field("version", version);
+                    reply(make_reply(id, status_ok));
+                    request_round();
+                });
+    if (!proposed)
+        reply(make_reply(id, status_payload_too_large));
 }
 
 void job_control::handle(const read_configuration&, std::uint64_t id, const reply_handler& reply) {
@@ -601,12 +597,15 @@
         .field("wave", request.order.number)
         .field("vms", std::uint64_t{request.order.vms.size()})
         .field("cap", request.order.max_down);
-    propose({put_wave{request.order}}, [this, reply, id](const command_outcome& result) {
-        if (!result)
-            return;
-        reply(make_reply(id, status_ok));
-        request_round();
-    });
+    const bool proposed =
+        propose({put_wave{request.order}}, [this, reply, id](const command_outcome& result) {
+            if (!result)
+                return;
+            reply(make_reply(id, status_ok));
+            request_round();
+        });
+    if (!proposed)
+        reply(make_reply(id, status_payload_too_large));
 }
 
 void job_control::handle(const read_wave& request, std::uint64_t id, const reply_handler& reply) {
@@ -692,8 +691,7 @@
     auto orders = std::move(planned.orders);
     planned.orders.clear();
     if (!planned.log.empty() || !planned.ends.empty()) {
-        auto operations = planned.log;
-        propose(std::move(operations), [this, planned](const command_outcome& result) {
+        propose(planned.log, [this, planned](const command_outcome& result) {
             if (!result)
                 return;
             for (auto& item : controller_.committed(planned, *result, clock_.now()))
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -8,6 +8,7 @@
 #include "control/http_server.h"
 #include "control/leader_router.h"
 #include "control/log_node.h"
+#include "control/proposal_queue.h"
 #include "workload/controller.h"
 #include "workload/fleet_protocol.h"
 
@@ -57,17 +58,9 @@
 
   private:
     using reply_handler = leader_router::reply_handler;
-    // Whether each operation was accepted. Empty if leadership was lost: the result is unknown
-    // here.
-    using command_outcome = std::optional<std::vector<bool>>;
     struct pending_command {
         consensus::term_t term = 0;
-        std::function<void(const command_outcome&)> done;
-    };
-    // Operations that wait for the next log entry, with one completion handler per group.
-    struct operation_group {
-        std::size_t size = 0;
-        std::function<void(const command_outcome&)> done;
+        proposal_queue::done_handler done;
     };
 
     // A caller whose submission is not committed yet.
@@ -85,9 +78,9 @@
     void publish_directory();
     void connect_members();
     // `done` is called once the operations are committed. It may never be called if leadership is
-    // lost.
-    void propose(std::vector<workload::operation> operations,
-                 std::function<void(const command_outcome&)> done);
+    // lost. Returns false if an operation exceeds the limit of a log entry; nothing is logged then.
+    bool propose(const std::vector<workload::operation>& operations,
+                 proposal_queue::done_handler done);
     void schedule_flush(time_ms delay);
     void flush_operations();
     void record_progress(const workload::command& value, const std::vector<bool>& accepted);
@@ -155,8 +148,7 @@
     };
     std::map<std::string, worker_pools> worker_pools_;
     std::multimap<consensus::index_t, pending_command> pending_commands_;
-    std::vector<workload::operation> queued_operations_;
-    std::vector<operation_group> operation_groups_;
+    proposal_queue proposals_{consensus::max_entry_bytes};
     // Jobs that are not committed yet, with all callers that submitted them.
     std::map<std::string, std::vector<pending_caller>> submissions_;
     boost::asio::steady_timer flush_timer_;
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -2,6 +2,8 @@
 #include "consensus/codec.h"
 #include "workload/job_table.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace clementine::workload {
@@ -389,16 +391,29 @@
 
 } // namespace
 
-std::string encode(const command& value) {
+std::string encode_operation(const operation& value) {
     writer out;
-    put(out, value.proposed_at);
-    write_list(out, value.operations, [&](const operation& item) {
-        out.u8(static_cast<std::uint8_t>(item.index()));
-        std::visit([&](const auto& op) { put(out, op); }, item);
-    });
+    out.u8(static_cast<std::uint8_t>(value.index()));
+    std::visit([&](const auto& op) { put(out, op); }, value);
     return out.take();
 }
 
+std::string encode_command(time_ms proposed_at, const std::vector<std::string_view>& operations) {
+    writer out;
+    put(out, proposed_at);
+    out.u32(static_cast<std::uint32_t>(operations.size()));
+    auto bytes = out.take();
+    for (const auto& item : operations)
+        bytes += item;
+    return bytes;
+}
+
+std::string encode(const command& value) {
+    std::vector<std::string> encoded;
+    std::ranges::transform(value.operations, std::back_inserter(encoded), encode_operation);
+    return encode_command(value.proposed_at, {encoded.begin(), encoded.end()});
+}
+
 std::optional<command> decode_command(std::string_view bytes) {
     reader in(bytes);
     command out;
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -142,6 +142,10 @@
 };
 
 std::string encode(const command& value);
+// Encodes a command in parts, whose sizes add up to that of the command.
+std::string encode_operation(const operation& value);
+std::string encode_command(time_ms proposed_at, const std::vector<std::string_view>& operations);
+inline constexpr std::size_t command_header_bytes = 12; // time and number of operations
 std::optional<command> decode_command(std::string_view bytes);
 
 class job_table {
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(caller_does_not_wait_for_a_lost_majority);
     CPPUNIT_TEST(resend_during_the_commit_is_not_refused);
     CPPUNIT_TEST(cancel_during_the_commit_takes_effect);
+    CPPUNIT_TEST(two_large_configurations_at_once_block_the_log);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -442,6 +443,45 @@
         stop_small_cluster(*entry);
     }
 
+    // The size of a configuration that has grown by many routes; two of them exceed a log entry.
+    static std::string large_configuration(int version) {
+        constexpr int routes = 1'400;
+        auto out = configuration(version);
+        std::string added;
+        for (int i = 0; i < routes; ++i)
+            added += R"({"Name":"idle-)" + std::to_string(i) +
+                     R"(","Host":"idle.example","PathPrefix":"/idle/)" + std::to_string(i) +
+                     R"(/","TimeoutMs":3000,"TargetLatencyMs":5000,"Priority":0,"Service":"s1",)"
+                     R"("Attempts":2,"Stretch":2.0},)";
+        return out.insert(out.find(R"({"Name":"r1")"), added);
+    }
+
+    // Two operators sent large configurations at the same moment. Batched, they exceeded the limit
+    // of a log entry, and nothing was logged any more until the leader was lost.
+    void two_large_configurations_at_once_block_the_log() {
+        const auto entry = start_small_cluster();
+        const auto endpoint = parse_endpoint(address(leading_node(), control_port));
+        const auto pool = std::make_shared<http_pool>(
+            loop_, clock_,
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address(endpoint->address),
+                                           endpoint->port),
+            2);
+        int acknowledged = 0;
+        for (const int version : {6, 7})
+            pool->request(
+                {"PUT", "/clementineroad/config", {}, large_configuration(version)}, 3'000,
+                [&](const http_result& result) { acknowledged += result.status == 200 ? 1 : 0; });
+        CPPUNIT_ASSERT(wait_for([&] { return acknowledged == 2; }));
+        pool->stop();
+        CPPUNIT_ASSERT_EQUAL(
+            large_configuration(7),
+            call_until(address(1, control_port), {"GET", "/clementineroad/config", {}, {}}, 200)
+                .body);
+        call_until(address(9, callers_port), job_request("POST", "00000000000000e1", long_job),
+                   200);
+        stop_small_cluster(*entry);
+    }
+
     // An entry node without links to control nodes stayed in rotation of the load balancer, and its
     // callers got errors for seconds.
     void entry_without_links_is_not_ready() {
