Log once a second what the leader's time goes to and how late it is

Change: leader_load with the delay of the loop, the longest commit, whether the lease is held, calls turned away, and counts and times of decisions, applied entries, requests and exchanges; clementine_loop_delay_ms and clementine_commit_ms.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -19,6 +19,7 @@
 namespace {
 
 constexpr time_ms tick_interval{25};
+constexpr time_ms load_log_interval{1'000};
 // A round waits this long for further observations, so that one log entry holds several decisions.
 // With many workers each round costs more, and a longer delay saves log entries and syncs.
 constexpr time_ms round_delay{3};
@@ -266,6 +267,7 @@
 }
 
 void job_control::apply(const consensus::entry& entry) {
+    const load_monitor::timer timer(load_, activity::apply);
     const auto value = decode_command(entry.data);
     command_outcome result;
     if (value) {
@@ -280,8 +282,10 @@
     for (auto it = range.first; it != range.second; ++it)
         done.push_back(std::move(it->second));
     pending_commands_.erase(range.first, range.second);
-    for (const auto& pending : done)
+    for (const auto& pending : done) {
+        load_.observe_commit(pending.proposed_at, clock_.now());
         pending.done(pending.term == entry.term ? result : std::nullopt);
+    }
 }
 
 // Logs and counts the job changes of a committed command. Only the leader does this.
@@ -364,7 +368,7 @@
             return;
         }
         pending_commands_.emplace(position->index,
-                                  pending_command{position->term, proposals_.pop()});
+                                  pending_command{position->term, clock_.now(), proposals_.pop()});
     }
 }
 
@@ -422,34 +426,67 @@
 
 void job_control::schedule_tick() {
     tick_timer_.expires_after(std::chrono::milliseconds(tick_interval));
-    tick_timer_.async_wait([this](boost::system::error_code error) {
-        if (error || stopped_)
-            return;
-        check_leadership();
-        const auto now = clock_.now();
-        if (now - directory_published_at_ >= directory_interval) {
-            publish_directory();
-            connect_members();
-            drop_unused_worker_pools();
-        }
-        if (!log_->is_voter() && now - join_requested_at_ >= join_request_interval &&
-            !router_->leader().empty()) {
-            join_requested_at_ = now;
-            links_->send(router_->leader(), wire::join_request{log_->id()});
-        }
-        if (was_serving_)
-            run_round();
-        schedule_tick();
-    });
+    tick_timer_.async_wait(
+        [this, due = clock_.now() + tick_interval](boost::system::error_code error) {
+            if (error || stopped_)
+                return;
+            const auto now = clock_.now();
+            load_.observe_timer(due, now);
+            check_leadership();
+            log_load(now);
+            if (now - directory_published_at_ >= directory_interval) {
+                publish_directory();
+                connect_members();
+                drop_unused_worker_pools();
+            }
+            if (!log_->is_voter() && now - join_requested_at_ >= join_request_interval &&
+                !router_->leader().empty()) {
+                join_requested_at_ = now;
+                links_->send(router_->leader(), wire::join_request{log_->id()});
+            }
+            if (was_serving_)
+                run_round();
+            schedule_tick();
+        });
+}
+
+// One line per second with what the leader's time went to.
+void job_control::log_load(time_ms now) {
+    if (now - load_logged_at_ < load_log_interval)
+        return;
+    load_logged_at_ = now;
+    const auto load = load_.take();
+    metrics_.observe_ms("clementine_loop_delay_ms", {}, static_cast<double>(load.max_loop_delay));
+    if (!controller_.leading())
+        return;
+    metrics_.observe_ms("clementine_commit_ms", {}, static_cast<double>(load.max_commit_delay));
+    log_event line(log_level::info, "leader_load");
+    line.field("loop_delay_ms", load.max_loop_delay)
+        .field("commit_ms", load.max_commit_delay)
+        .field("lease", log_->holds_lease())
+        .field("declined_calls", load.declined_calls)
+        .field("uncommitted", std::uint64_t{pending_commands_.size()});
+    for (std::size_t i = 0; i < load.work_done.size(); ++i) {
+        const auto& item = load.work_done[i];
+        const std::string name(activity_names[i]);
+        line.field(name + "_count", item.count)
+            .field(name + "_ms", static_cast<double>(item.total.count()) / 1'000)
+            .field(name + "_longest_ms", static_cast<double>(item.longest.count()) / 1'000);
+    }
 }
 
 // Request handlers.
 
 bool job_control::handle_call(const wire::call& request, const reply_handler& reply) {
     check_leadership();
-    if (!was_serving_)
+    if (!was_serving_) {
+        load_.observe_declined_call();
         return false;
-    if (request.origin == wire::call_origin::caller)
+    }
+    const bool from_caller = request.origin == wire::call_origin::caller;
+    const load_monitor::timer timer(load_, from_caller ? activity::caller_request
+                                                       : activity::fleet_request);
+    if (from_caller)
         handle_caller(request, reply);
     else
         handle_fleet(request, reply);
@@ -687,6 +724,7 @@
     check_leadership();
     if (!was_serving_)
         return;
+    const load_monitor::timer timer(load_, activity::round);
     auto planned = controller_.decide(clock_.now(), wall_clock_ms());
     auto orders = std::move(planned.orders);
     planned.orders.clear();
@@ -807,6 +845,7 @@
                                  const http_result& exchange) {
     if (stopped_ || !controller_.leading())
         return;
+    const load_monitor::timer timer(load_, activity::exchange);
     const auto now = exchange.received_at;
     if (const auto* hold = std::get_if<hold_order>(&value))
         controller_.observe(*hold, result.answer, result.lists, exchange.sent_at, now);
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -7,6 +7,7 @@
 #include "control/http_pool.h"
 #include "control/http_server.h"
 #include "control/leader_router.h"
+#include "control/load_monitor.h"
 #include "control/log_node.h"
 #include "control/proposal_queue.h"
 #include "workload/controller.h"
@@ -60,6 +61,7 @@
     using reply_handler = leader_router::reply_handler;
     struct pending_command {
         consensus::term_t term = 0;
+        time_ms proposed_at{0};
         proposal_queue::done_handler done;
     };
 
@@ -87,6 +89,7 @@
     void record_job_end(const std::string& id, time_ms at);
     void check_leadership();
     void schedule_tick();
+    void log_load(time_ms now);
 
     // Requests.
     bool handle_call(const wire::call& request, const reply_handler& reply);
@@ -132,6 +135,8 @@
     const clock_source& clock_;
     std::function<void(const std::string&)> failed_;
     metrics metrics_;
+    load_monitor load_;
+    time_ms load_logged_at_{0};
     workload::job_table table_;
     workload::controller controller_;
     std::unique_ptr<cluster_links> links_;
