Count only the silence of a server against the time limit of an exchange

A limit of 400 ms on an exchange ended connections that had been accepted and responses that were arriving when the process itself was late with each step. Cause: one deadline covered connecting, writing and all reads, and it was checked without looking for events that had not been handled yet. Change: the deadline restarts with each step of the server; an unhandled event on the socket postpones it, by 5 s over the whole exchange at most. Why it works: time that this process needs between the steps is no longer counted. Tests: late_connect_handler_is_taken_for_a_silent_server and response_read_in_parts_is_taken_for_a_silent_server failed before and pass now; response_that_stops_midway_times_out guards the limit itself.

--- a/src/control/http_pool.cpp
+++ b/src/control/http_pool.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <poll.h>
 
 namespace clementine::control {
 
@@ -23,6 +24,12 @@
 // Upper bound of a response body; a list of 500 ended tasks takes about 60 KB.
 constexpr std::uint64_t max_response_bytes = 4U << 20;
 
+// A server that has answered is waited for this long beyond the time limit, while this process is
+// late to read the answer.
+constexpr time_ms max_own_delay{5'000};
+// Interval at which such an answer is looked for again.
+constexpr time_ms overdue_check_interval{20};
+
 std::string to_host_header(const asio::ip::tcp::endpoint& endpoint) {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
@@ -46,7 +53,9 @@
         serialize(std::move(item.call));
         result_ = {};
         result_.sent_at = pool_->clock_.now();
-        deadline_ = result_.sent_at + item.limit;
+        limit_ = item.limit;
+        last_deadline_ = result_.sent_at + limit_ + max_own_delay;
+        restart_deadline();
         timed_out_ = false;
         if (connected_)
             return write();
@@ -63,7 +72,13 @@
         socket_.close(ignored);
     }
 
-    void time_out() {
+    // Closes the connection if the server was silent until the deadline. An event that this process
+    // has not handled yet shows that it was not.
+    void check_deadline(time_ms now) {
+        if (now < last_deadline_ && has_unhandled_event()) {
+            deadline_ = now + overdue_check_interval;
+            return;
+        }
         timed_out_ = true;
         stop();
     }
@@ -93,8 +108,19 @@
         }
     }
 
+    // Restarts the time that the server has for its next answer: a response that is read in parts
+    // by a process short of processor time takes long without any silence of the server.
+    void restart_deadline() { deadline_ = std::min(pool_->clock_.now() + limit_, last_deadline_); }
+
+    bool has_unhandled_event() {
+        const short awaited = connected_ && !writing_ ? POLLIN : POLLIN | POLLOUT;
+        pollfd state{socket_.native_handle(), awaited, 0};
+        return ::poll(&state, 1, 0) > 0;
+    }
+
     void handle_connected() {
         connected_ = true;
+        restart_deadline();
         boost::system::error_code ignored;
         socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         socket_.non_blocking(true, ignored);
@@ -117,10 +143,13 @@
                        [self = shared_from_this(), error] { self->fail(error); });
             return;
         }
+        writing_ = true;
         asio::async_write(socket_, asio::buffer(request_bytes_) + written,
                           [self = shared_from_this()](beast::error_code error, std::size_t) {
+                              self->writing_ = false;
                               if (error)
                                   return self->fail(error);
+                              self->restart_deadline();
                               self->read();
                           });
     }
@@ -128,12 +157,20 @@
     void read() {
         parser_.emplace();
         parser_->body_limit(max_response_bytes);
-        http::async_read(socket_, buffer_, *parser_,
-                         [self = shared_from_this()](beast::error_code error, std::size_t) {
-                             if (error)
-                                 return self->fail(error);
-                             self->succeed();
-                         });
+        parser_->eager(true);
+        read_part();
+    }
+
+    void read_part() {
+        http::async_read_some(socket_, buffer_, *parser_,
+                              [self = shared_from_this()](beast::error_code error, std::size_t) {
+                                  if (error)
+                                      return self->fail(error);
+                                  if (self->parser_->is_done())
+                                      return self->succeed();
+                                  self->restart_deadline();
+                                  self->read_part();
+                              });
     }
 
     void succeed() {
@@ -171,9 +208,12 @@
     http_result result_;
     done_handler done_;
     std::function<bool()> may_send_;
+    time_ms limit_{0};
     time_ms deadline_{0};
+    time_ms last_deadline_{0}; // of the whole exchange
     bool timed_out_ = false;
     bool connected_ = false;
+    bool writing_ = false;
     bool closed_ = false;
 };
 
@@ -231,7 +271,7 @@
         self->armed_until_.reset();
         for (const auto& item : self->connections_) {
             if (item->busy() && !item->closed() && self->clock_.now() >= item->deadline())
-                item->time_out();
+                item->check_deadline(self->clock_.now());
         }
         self->arm_deadline_timer();
     });
--- a/src/control/http_pool.h
+++ b/src/control/http_pool.h
@@ -54,8 +54,9 @@
     http_pool& operator=(const http_pool&) = delete;
     ~http_pool();
 
-    // Sends a request once a connection is free. The time limit covers connecting and the exchange
-    // but not the time in the queue. `done` is called exactly once, on the loop.
+    // Sends a request once a connection is free. The request ends as `timeout` once the server has
+    // been silent for `limit`; the time in the queue and delays of this process do not count.
+    // `done` is called exactly once, on the loop.
     void request(http_call value, time_ms limit, done_handler done);
     // Closes all connections; open requests end as `stopped`.
     void stop();
--- a/tests/jobs/http_pool_test.cpp
+++ b/tests/jobs/http_pool_test.cpp
@@ -4,8 +4,12 @@
 #include "control/http_server.h"
 
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <optional>
+#include <thread>
+
 namespace {
 
 using namespace clementine;
@@ -15,12 +19,16 @@
     CPPUNIT_TEST_SUITE(http_pool_test);
     CPPUNIT_TEST(request_no_longer_permitted_is_not_sent);
     CPPUNIT_TEST(request_without_response_times_out);
+    CPPUNIT_TEST(late_connect_handler_is_taken_for_a_silent_server);
+    CPPUNIT_TEST(response_read_in_parts_is_taken_for_a_silent_server);
+    CPPUNIT_TEST(response_that_stops_midway_times_out);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
     steady_clock clock_;
     std::shared_ptr<http_server> server_;
     std::shared_ptr<http_pool> pool_;
+    std::optional<boost::asio::ip::tcp::acceptor> acceptor_;
     std::vector<http_respond> pending_responses_; // to requests that the server has received
     std::vector<http_result> results_;
 
@@ -38,6 +46,29 @@
                        [this](const http_result& result) { results_.push_back(result); });
     }
 
+    // Replaces the server by a socket that the test reads and writes itself.
+    void use_raw_server() {
+        acceptor_.emplace(
+            loop_, boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.47.0.20"), 0));
+        pool_->stop();
+        pool_ = std::make_shared<http_pool>(loop_, clock_, acceptor_->local_endpoint(), 1);
+    }
+
+    // Accepts the connection of the client and waits for its request.
+    boost::asio::ip::tcp::socket accept_request() {
+        auto peer = acceptor_->accept();
+        CPPUNIT_ASSERT(wait_for([&] { return peer.available() > 0; }));
+        return peer;
+    }
+
+    static void write(boost::asio::ip::tcp::socket& peer, const std::string& bytes) {
+        boost::asio::write(peer, boost::asio::buffer(bytes));
+    }
+
+    static void delay_process(time_ms duration) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(duration));
+    }
+
     void respond_to_last() {
         pending_responses_.back()(
             make_response(boost::beast::http::status::ok, "{}", "application/json"));
@@ -94,6 +125,47 @@
         CPPUNIT_ASSERT(results_[1].failure == call_failure::timeout);
         CPPUNIT_ASSERT(clock_.now() - sent_at < 1'000);
     }
+
+    // A leader short of processor time closed connections that had been accepted at once, took the
+    // VM list for unavailable and moved no VM for six seconds.
+    void late_connect_handler_is_taken_for_a_silent_server() {
+        use_raw_server();
+        send(100);
+        delay_process(150);
+        loop_.poll();
+        auto peer = accept_request();
+        write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}");
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        CPPUNIT_ASSERT(!results_[0].failure);
+    }
+
+    // As above, for a response that takes several reads.
+    void response_read_in_parts_is_taken_for_a_silent_server() {
+        use_raw_server();
+        send(100);
+        auto peer = accept_request();
+        write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+        for (const auto* part : {"a", "b", "c", "d"}) {
+            loop_.poll();
+            delay_process(60);
+            write(peer, part);
+        }
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        CPPUNIT_ASSERT(!results_[0].failure);
+        CPPUNIT_ASSERT_EQUAL(std::string("abcd"), results_[0].body);
+    }
+
+    // A connection may go silent in the middle of a response.
+    void response_that_stops_midway_times_out() {
+        use_raw_server();
+        send(100);
+        auto peer = accept_request();
+        write(peer, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{");
+        const auto written_at = clock_.now();
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        CPPUNIT_ASSERT(results_[0].failure == call_failure::timeout);
+        CPPUNIT_ASSERT(clock_.now() - written_at < 1'000);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_pool_test);
