Replicate and apply entries without waiting for unrelated writes of the leader

Cause: the leader's output was processed as one unit with its write. Appends, heartbeats and committed entries waited for the sync of whatever else was in the unit, and for the pass of the loop that learned of the sync; while a write was under way nothing was sent at all. Each commit needed several passes of a loop that is 40 to 100 ms late in a surge. Change: replica::take_immediate returns a leader's messages and the committed entries that are durable here, also while a write is outstanding; log_node sends and applies them at once. A term that is not durable yet sends nothing early. A leader whose write takes over 300 ms falls silent, so that a stalled disk still costs it the leadership. Why it works: an entry needs a majority of disks, not the leader's first, and what is committed and durable needs no further write.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -66,6 +66,7 @@
     propose_result change_members(const membership_change& change);
     void update_followers();
     void advance_commit();
+    std::vector<entry> take_committed();
     void set_commit(index_t to);
     bool caught_up(const progress& member) const;
     bool can_send(const progress& member) const;
@@ -112,6 +113,8 @@
     bool install_pending = false;
     std::vector<message> messages;
     bool ready_outstanding = false;
+    bool state_outstanding = false;   // the outstanding work contains a new term or vote
+    bool install_outstanding = false; // the outstanding work replaces the state machine
 };
 
 } // namespace clementine::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -4,6 +4,7 @@
 #include "consensus/core.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace clementine::consensus {
 
@@ -89,6 +90,10 @@
     return read_index{.index = c.commit};
 }
 
+index_t replica::term_start_index() const {
+    return core_->term_start_index;
+}
+
 bool replica::holds_lease(time_ms now) const {
     // Before its first commit in the term, a leader may not know all committed entries.
     return core_->lease_valid(now) && core_->committed_in_term();
@@ -127,12 +132,33 @@
     }
     for (; c.persist_from <= c.log.last(); ++c.persist_from)
         out.append.push_back(c.log.at(c.persist_from));
-    std::size_t bytes = 0;
-    while (c.applied < std::min(c.commit, c.stable) && bytes < max_committed_bytes) {
-        out.committed.push_back(c.log.at(++c.applied));
-        bytes += out.committed.back().data.size();
-    }
+    out.committed = c.take_committed();
     out.messages.swap(c.messages);
+    c.state_outstanding = out.state.has_value();
+    c.install_outstanding = out.install;
+    return out;
+}
+
+immediate_work replica::take_immediate() {
+    auto& c = *core_;
+    immediate_work out;
+    if (c.role == replica_role::stopped)
+        return out;
+    if (!c.snapshot_pending && !c.install_outstanding)
+        out.committed = c.take_committed();
+    // A leader of a term that is not durable may vote again in that term after a restart.
+    if (!c.is_leader() || c.state_outstanding || c.hard != c.last_taken_state)
+        return out;
+    for (auto& [id, member] : c.followers)
+        c.send_entries(id, member);
+    const auto waits_for_writes = [&](const message& value) {
+        return value.term != c.hard.term || !(std::holds_alternative<append_request>(value.body) ||
+                                              std::holds_alternative<snapshot_chunk>(value.body));
+    };
+    const auto first = std::ranges::stable_partition(c.messages, waits_for_writes);
+    out.messages.assign(std::make_move_iterator(first.begin()),
+                        std::make_move_iterator(first.end()));
+    c.messages.erase(first.begin(), first.end());
     return out;
 }
 
@@ -140,7 +166,7 @@
     auto& c = *core_;
     if (c.role == replica_role::stopped)
         return;
-    c.ready_outstanding = false;
+    c.ready_outstanding = c.state_outstanding = c.install_outstanding = false;
     if (!done.append.empty()) {
         const auto& last = done.append.back();
         // Entries that were replaced in the log since take_ready() do not count as durable.
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -148,6 +148,9 @@
     std::optional<refusal> transfer_leadership();
     // Starts a linearizable read under the lease.
     read_result read(time_ms now) const;
+    // Index of the first entry of this leader's term. All that earlier leaders acknowledged is
+    // before it.
+    index_t term_start_index() const;
     // True if no other replica can be leader at `now`. Must be checked immediately before acting as
     // leader.
     bool holds_lease(time_ms now) const;
@@ -156,6 +159,9 @@
     bool has_ready() const;
     // Returns the next work; empty until the previous work was passed to `writes_synced`.
     ready take_ready();
+    // Returns the work that need not wait for writes, also while work of `take_ready` is
+    // outstanding. A host that never calls this gets the same work from `take_ready`.
+    immediate_work take_immediate();
     // Reports that the writes of `done` are durable.
     void writes_synced(const ready& done);
     // Reports that the storage failed permanently: the replica stops and sends nothing more.
--- a/src/consensus/replication.cpp
+++ b/src/consensus/replication.cpp
@@ -300,6 +300,17 @@
         set_commit(index);
 }
 
+// Takes committed entries that are durable here, up to `max_committed_bytes`.
+std::vector<entry> replica::core::take_committed() {
+    std::vector<entry> out;
+    std::size_t bytes = 0;
+    while (applied < std::min(commit, stable) && bytes < max_committed_bytes) {
+        out.push_back(log.at(++applied));
+        bytes += out.back().data.size();
+    }
+    return out;
+}
+
 void replica::core::set_commit(index_t to) {
     if (is_leader()) {
         for (auto i = commit + 1; i <= to; ++i)
--- a/src/consensus/types.h
+++ b/src/consensus/types.h
@@ -179,6 +179,16 @@
     bool has_writes() const;
 };
 
+// Work that needs no write of this replica first: apply `committed`, which is durable here already,
+// and send `messages`. A leader's appends and heartbeats are among them: an entry is committed once
+// it is durable at a majority, with or without the leader's own disk.
+struct immediate_work {
+    std::vector<entry> committed;
+    std::vector<message> messages;
+
+    bool empty() const { return committed.empty() && messages.empty(); }
+};
+
 // State recovered from disk at startup. The entries may begin before `snap.index`.
 struct durable_state {
     hard_state state;
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -17,6 +17,8 @@
 
 // Well below consensus::max_tick_interval.
 constexpr time_ms tick_interval{20};
+// A leader whose write takes longer sends nothing until it is done.
+constexpr time_ms max_write_time{300};
 // A snapshot is taken after this many applied entries or bytes.
 constexpr consensus::index_t snapshot_entries = 4'000;
 constexpr std::size_t snapshot_bytes = 8 * 1024 * 1024;
@@ -225,13 +227,18 @@
     process_ready();
 }
 
-// Processes the core's output until some of it must be written; the completion of `persist`
-// continues from there.
+// Processes the core's output. Writes are made one at a time; the completion of `persist`
+// continues with the next.
 void log_node::process_ready() {
     if (processing_ready_)
         return;
     processing_ready_ = true;
-    while (!failed_ && !writing_ && core_->has_ready()) {
+    bool more = true;
+    while (more && !failed_) {
+        more = process_immediate();
+        if (failed_ || writing_ || !core_->has_ready())
+            continue;
+        more = true;
         auto work = core_->take_ready();
         if (work.has_writes())
             persist(std::move(work));
@@ -241,8 +248,20 @@
     processing_ready_ = false;
 }
 
+// Sends and applies what does not depend on a pending write, unless the disk is stalled: another
+// replica leads sooner if this one falls silent. Returns true if there was anything.
+bool log_node::process_immediate() {
+    if (writing_ && clock_.now() - writing_since_ > max_write_time)
+        return false;
+    const auto work = core_->take_immediate();
+    send(work.messages);
+    apply(work.committed);
+    return !work.empty();
+}
+
 void log_node::persist(consensus::ready work) {
     writing_ = true;
+    writing_since_ = clock_.now();
     asio::post(disk_loop_, [this, work = std::move(work)]() mutable {
         const auto started = clock_.now();
         auto error = storage_->save(work);
@@ -271,7 +290,13 @@
         bytes_since_snapshot_ = 0;
         log_event(log_level::info, "snapshot_installed").field("index", std::uint64_t{applied_});
     }
-    for (const auto& item : work.messages) {
+    send(work.messages);
+    core_->writes_synced(work);
+    apply(work.committed);
+}
+
+void log_node::send(const std::vector<consensus::message>& messages) {
+    for (const auto& item : messages) {
         const auto* known = core_->members().find(item.to);
         const auto sender = sender_nodes_.find(item.to);
         if (known)
@@ -279,8 +304,10 @@
         else if (sender != sender_nodes_.end())
             handlers_.send(sender->second, item);
     }
-    core_->writes_synced(work);
-    for (const auto& item : work.committed) {
+}
+
+void log_node::apply(const std::vector<consensus::entry>& committed) {
+    for (const auto& item : committed) {
         applied_ = item.index;
         bytes_since_snapshot_ += item.data.size();
         if (item.kind == consensus::entry_kind::command)
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -77,7 +77,8 @@
     // Transfers leadership to another voter, if this replica leads.
     void transfer_leadership();
 
-    // True if this replica holds the leader lease and has applied all committed entries.
+    // True if this replica holds the leader lease and has applied all that earlier leaders
+    // acknowledged. Its own acknowledgements follow the application of an entry.
     bool serving() const;
     bool holds_lease() const;
     consensus::term_t term() const { return core_->term(); }
@@ -99,6 +100,9 @@
     void process_ready();
     void persist(consensus::ready work);
     void complete_ready(const consensus::ready& work);
+    bool process_immediate();
+    void send(const std::vector<consensus::message>& messages);
+    void apply(const std::vector<consensus::entry>& committed);
     void snapshot_if_due();
     void advance_membership();
     bool has_room_for(const std::string& node) const;
@@ -125,6 +129,7 @@
     bool was_member_ = false; // a published membership contained this id
     bool rejoin_due_ = false;
     bool writing_ = false; // a write is pending on the disk thread
+    time_ms writing_since_{0};
     std::map<std::string, consensus::replica_id> join_requests_; // node -> id
     // Replica id -> node, from received messages.
     std::map<consensus::replica_id, std::string> sender_nodes_;
