Serve while a committed entry is not applied yet

Cause: a leader served only if it had applied every committed entry. With writes under way all the time that was false for much of the time. Change: log_node::serving asks for the lease and for all entries up to the start of the term. Why it works: earlier leaders acknowledged nothing beyond the start of the term, and this leader acknowledges an entry only after applying it, so what is applied is never older than an acknowledgement. Test: leader_serves_nothing_until_a_commit_is_applied failed before and passes now.

--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -190,9 +190,7 @@
 bool log_node::serving() const {
     if (failed_ || stopped_)
         return false;
-    const auto result = core_->read(clock_.now());
-    const auto* point = std::get_if<consensus::read_index>(&result);
-    return point != nullptr && point->index <= applied_;
+    return core_->holds_lease(clock_.now()) && applied_ >= core_->term_start_index();
 }
 
 bool log_node::holds_lease() const {
--- a/tests/control/log_node_test.cpp
+++ b/tests/control/log_node_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST_SUITE(log_node_test);
     CPPUNIT_TEST(replication_waits_for_the_disk_of_the_leader);
     CPPUNIT_TEST(commit_waits_for_a_later_write);
+    CPPUNIT_TEST(leader_serves_nothing_until_a_commit_is_applied);
     CPPUNIT_TEST(leader_with_a_stalled_disk_keeps_the_leadership);
     CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,30 @@
         CPPUNIT_ASSERT(leading.files.gate.holds_up_a_sync());
     }
 
+    // Until then the leader turned all calls away, and the entry nodes sent them again at once.
+    void leader_serves_nothing_until_a_commit_is_applied() {
+        auto& leading = elect_leader();
+        commit_during_a_write(leading);
+        std::size_t turned_away = 0;
+        for (int i = 0; i < 100; ++i) {
+            run_for(1);
+            turned_away += leading.log->serving() ? 0U : 1U;
+        }
+        CPPUNIT_ASSERT(leading.files.gate.holds_up_a_sync());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, turned_away);
+        // The same while the commit of an entry waits for the leader's own disk.
+        leading.files.gate.open();
+        CPPUNIT_ASSERT(wait_for([&] { return leading.applied.size() == 3; }));
+        leading.files.gate.close();
+        leading.log->propose("z");
+        for (int i = 0; i < 100; ++i) {
+            run_for(1);
+            turned_away += leading.log->serving() ? 0U : 1U;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, leading.applied.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, turned_away);
+    }
+
     // Heartbeats do not wait for writes, but a leader whose disk hangs must not go on sending them.
     void leader_with_a_stalled_disk_keeps_the_leadership() {
         auto& stalled = elect_leader();
