Handle all frames that have arrived with one read of a link

What callers saw: commits of a leader short of processor time took up to 770 ms, and its lease of 600 ms lapsed with no fault near. One pass over all ready handlers of its event loop takes 40 to 100 ms in a surge.

Cause: a connection read the header of a frame with one asynchronous read and the payload with a second one. Each completion waits for a pass of the loop, also when all bytes have been there from the start, and so does each further frame: n frames that arrived together took 2n handlers, one after another.

Change: one async_read_some takes whatever has arrived, and its handler handles all whole frames in the buffer. The buffer grows to the rest of the frame that is being received, so it stays below one frame and 64 KiB; as before, the length is checked before. As before, only a complete header or frame ends silence, and a bad length, checksum or message closes the connection, in order behind the frames before it. As several frames may now be in the buffer when a callback stops the connection or its channel, stop sets a flag that ends the delivery; `closed` is still called from a handler of its own, as the caller of stop may hold a lock that it takes.

--- a/src/wire/channel.cpp
+++ b/src/wire/channel.cpp
@@ -40,14 +40,20 @@
 
 void channel::stop() {
     stopped_ = true;
+    stop_connection();
+    // A connection may have been made after the call above.
     asio::post(strand_, [self = shared_from_this()] {
         self->timer_.cancel();
-        std::lock_guard lock(self->mutex_);
-        if (self->connection_)
-            self->connection_->stop();
+        self->stop_connection();
     });
 }
 
+void channel::stop_connection() {
+    std::lock_guard lock(mutex_);
+    if (connection_)
+        connection_->stop();
+}
+
 bool channel::send(const message& value) {
     if (!open_)
         return false;
--- a/src/wire/channel.h
+++ b/src/wire/channel.h
@@ -43,6 +43,7 @@
 
   private:
     void connect();
+    void stop_connection();
     void handle_connected(boost::asio::ip::tcp::socket socket);
     void handle_opened(const hello& peer);
     void handle_closed(const close_info& info);
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -6,10 +6,10 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <random>
 #include <utility>
 
@@ -19,6 +19,13 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
+namespace {
+
+// Upper bound of one read, unless the rest of the frame is longer.
+constexpr std::size_t read_bytes = 64U << 10;
+
+} // namespace
+
 std::uint64_t new_boot_id() {
     std::random_device device;
     return (std::uint64_t{device()} << 32) | device();
@@ -45,7 +52,7 @@
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
         self->send(self->own_hello_);
         self->schedule_deadline_check();
-        self->read_header();
+        self->read();
     });
 }
 
@@ -68,6 +75,8 @@
 }
 
 void connection::stop() {
+    stopping_ = true;
+    // Not run at once: the caller may hold a lock that `closed` takes.
     asio::post(socket_.get_executor(),
                [self = shared_from_this()] { self->close(close_reason::stopped, {}); });
 }
@@ -106,39 +115,59 @@
                       });
 }
 
-void connection::read_header() {
-    asio::async_read(socket_, asio::buffer(header_bytes_),
-                     [self = shared_from_this()](boost::system::error_code error, auto) {
-                         if (error)
-                             return self->close(close_reason::peer_closed, error.message());
-                         const auto header = parse_frame_header(self->header_bytes_);
-                         if (!header)
-                             return self->close(close_reason::malformed, "bad frame length");
-                         self->last_received_ = steady_clock::now();
-                         self->header_ = *header;
-                         self->read_payload();
-                     });
+// One read takes whatever has arrived: each completion waits for a pass of the event loop, which
+// takes long in a process short of processor time.
+void connection::read() {
+    if (read_begin_ > 0)
+        std::copy(read_buffer_.data() + read_begin_, read_buffer_.data() + read_end_,
+                  read_buffer_.data());
+    read_end_ -= std::exchange(read_begin_, 0);
+    const std::size_t frame_bytes = frame_header_bytes + (header_ ? header_->length : 0);
+    const std::size_t wanted_bytes = std::max(frame_bytes - read_end_, read_bytes);
+    if (read_buffer_.size() < read_end_ + wanted_bytes)
+        read_buffer_.resize(read_end_ + wanted_bytes);
+    socket_.async_read_some(
+        asio::buffer(read_buffer_.data() + read_end_, wanted_bytes),
+        [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+            if (error)
+                return self->close(close_reason::peer_closed, error.message());
+            self->read_end_ += bytes;
+            self->handle_frames();
+            if (!self->closed_ && !self->stopping_)
+                self->read();
+        });
 }
 
-void connection::read_payload() {
-    payload_.resize(header_.length);
-    asio::async_read(socket_, asio::buffer(payload_),
-                     [self = shared_from_this()](boost::system::error_code error, auto) {
-                         if (error)
-                             return self->close(close_reason::peer_closed, error.message());
-                         self->handle_payload();
-                     });
+// A callback may stop the connection while further frames are in the buffer.
+void connection::handle_frames() {
+    while (!closed_ && !stopping_) {
+        const std::string_view received(read_buffer_.data() + read_begin_, read_end_ - read_begin_);
+        if (!header_) {
+            if (received.size() < frame_header_bytes)
+                return;
+            std::array<unsigned char, frame_header_bytes> header_bytes{};
+            std::copy_n(received.begin(), frame_header_bytes, header_bytes.begin());
+            header_ = parse_frame_header(header_bytes);
+            if (!header_)
+                return close(close_reason::malformed, "bad frame length");
+            last_received_ = steady_clock::now();
+        }
+        const auto frame_bytes = frame_header_bytes + header_->length;
+        if (received.size() < frame_bytes)
+            return;
+        handle_payload(received.substr(frame_header_bytes, header_->length));
+        header_.reset();
+        read_begin_ += frame_bytes;
+    }
 }
 
-void connection::handle_payload() {
-    if (closed_)
-        return;
+void connection::handle_payload(std::string_view payload) {
     last_received_ = steady_clock::now();
     ++counters_->frames_received;
-    counters_->bytes_received += frame_header_bytes + payload_.size();
-    if (!checksum_matches(header_, payload_))
+    counters_->bytes_received += frame_header_bytes + payload.size();
+    if (!checksum_matches(*header_, payload))
         return close(close_reason::malformed, "bad frame checksum");
-    auto value = decode(payload_);
+    auto value = decode(payload);
     if (!value)
         return close(close_reason::malformed, "undecodable message");
     if (const auto* greeting = std::get_if<hello>(&*value))
@@ -147,8 +176,6 @@
         close(close_reason::unexpected, "first message is not hello");
     else if (!std::holds_alternative<heartbeat>(*value))
         handlers_.received(std::move(*value));
-    if (!closed_)
-        read_header();
 }
 
 // Both sides send hello first and compare versions, so that both logs contain both versions.
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -10,14 +10,15 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <array>
 #include <atomic>
 #include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace clementine::wire {
@@ -96,7 +97,8 @@
     // closed. May be called from any thread. Success does not mean that the peer
     // receives it.
     bool send(const message& value);
-    // Closes with reason `stopped`. May be called from any thread.
+    // Closes with reason `stopped`; a message that has not been delivered yet is dropped. May be
+    // called from any thread.
     void stop();
     // True from just before `closed` is called.
     bool is_closed() const { return closed_; }
@@ -104,9 +106,9 @@
     const hello& peer() const { return peer_; }
 
   private:
-    void read_header();
-    void read_payload();
-    void handle_payload();
+    void read();
+    void handle_frames();
+    void handle_payload(std::string_view payload);
     void handle_hello(const hello& value);
     void enqueue(std::string frame);
     void write_queued();
@@ -121,12 +123,14 @@
     link_settings settings_;
     std::shared_ptr<traffic> counters_;
     handlers handlers_;
-    std::array<unsigned char, frame_header_bytes> header_bytes_{};
-    frame_header header_;
-    std::string payload_;
+    std::vector<char> read_buffer_; // received bytes are between read_begin_ and read_end_
+    std::size_t read_begin_ = 0;
+    std::size_t read_end_ = 0;
+    std::optional<frame_header> header_; // of the frame at read_begin_, once it has arrived
     std::deque<std::string> send_queue_;
     std::vector<std::string> frames_being_written_;
     std::atomic<std::size_t> queued_bytes_{0};
+    std::atomic<bool> stopping_{false};
     std::atomic<bool> closed_{false};
     bool hello_received_ = false;
     std::chrono::steady_clock::time_point last_received_;
