Do not take the delay of the own process for silence of a link's peer

What callers saw: a link between nodes was closed as silent, and made anew, while its peer had sent in time.

Cause: the silence check compared the clock with the time of the last frame handled. In a process short of processor time the bytes of the peer wait in the socket; if they arrive between the expiry of the limit and the check, the check runs first.

Evidence: connection_test a_late_process_does_not_close_a_link_whose_peer_sends on the code without the change: "closed silent" instead of "received 2".

Change: if the limit has passed but the socket has unread bytes (poll, as http_pool does), the check is made again after 20 ms, at most for 5 s beyond the limit. A socket at its end counts as unread too and is then closed by its read. A peer without unread bytes is closed as before.

Tests: the test above fails before and passes after; it also checks that the link is closed once the peer is silent. a_peer_that_completes_no_frame_is_not_kept guards the other direction. The bound of 5 s itself has no test: on a loop that runs, the read comes before the next check.

--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <array>
+#include <poll.h>
 #include <random>
 #include <utility>
 
@@ -23,6 +24,11 @@
 
 // Upper bound of one read, unless the rest of the frame is longer.
 constexpr std::size_t read_bytes = 64U << 10;
+// A peer whose bytes have arrived is waited for this long beyond the silence limit, while this
+// process is late to read them.
+constexpr time_ms max_own_delay{5'000};
+// Interval at which the silence of such a peer is checked again.
+constexpr time_ms overdue_check_interval{20};
 
 } // namespace
 
@@ -197,7 +203,11 @@
 void connection::schedule_deadline_check() {
     const auto heartbeat_at = last_sent_ + milliseconds(settings_.heartbeat_interval);
     const auto silent_at = last_received_ + milliseconds(settings_.silence_limit);
-    timer_.expires_at(std::min(heartbeat_at, silent_at));
+    schedule_deadline_check(std::min(heartbeat_at, silent_at));
+}
+
+void connection::schedule_deadline_check(steady_clock::time_point at) {
+    timer_.expires_at(at);
     timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
         if (!error)
             self->check_deadlines();
@@ -208,14 +218,25 @@
     if (closed_)
         return;
     const auto now = steady_clock::now();
-    if (now - last_received_ >= milliseconds(settings_.silence_limit))
+    const auto overdue = now - last_received_ - milliseconds(settings_.silence_limit);
+    const bool is_overdue = overdue >= milliseconds(0);
+    if (is_overdue && (overdue >= milliseconds(max_own_delay) || !has_unread_bytes()))
         return close(close_reason::silent,
                      "nothing received for " + std::to_string(settings_.silence_limit) + " ms");
     if (now - last_sent_ >= milliseconds(settings_.heartbeat_interval)) {
         last_sent_ = now;
         send(heartbeat{});
     }
-    schedule_deadline_check();
+    if (is_overdue)
+        schedule_deadline_check(now + milliseconds(overdue_check_interval));
+    else
+        schedule_deadline_check();
+}
+
+// True if the peer sent something that this process has not read yet.
+bool connection::has_unread_bytes() {
+    pollfd state{socket_.native_handle(), POLLIN, 0};
+    return ::poll(&state, 1, 0) > 0;
 }
 
 void connection::close(close_reason reason, std::string detail) {
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -110,9 +110,11 @@
     void handle_frames();
     void handle_payload(std::string_view payload);
     void handle_hello(const hello& value);
+    bool has_unread_bytes();
     void enqueue(std::string frame);
     void write_queued();
     void schedule_deadline_check();
+    void schedule_deadline_check(std::chrono::steady_clock::time_point at);
     void check_deadlines();
     void close(close_reason reason, std::string detail);
 
--- a/tests/wire/connection_test.cpp
+++ b/tests/wire/connection_test.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +16,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -121,6 +123,7 @@
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_in_a_handler);
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_of_the_channel_in_a_handler);
     CPPUNIT_TEST(frames_behind_a_bad_one_are_not_delivered);
+    CPPUNIT_TEST(a_late_process_does_not_close_a_link_whose_peer_sends);
     CPPUNIT_TEST(a_peer_that_completes_no_frame_is_not_kept);
     CPPUNIT_TEST_SUITE_END();
 
@@ -240,6 +243,33 @@
         pair.assert_events({"closed unexpected"});
     }
 
+    // Guards against a link that is lost because its own process was late: the frame arrives
+    // between the expiry of the silence limit and its check.
+    void a_late_process_does_not_close_a_link_whose_peer_sends() {
+        link_settings settings;
+        settings.heartbeat_interval = 60'000;
+        settings.silence_limit = 200;
+        polled_link pair(settings);
+        pair.open();
+        pair.write(frames_of_reports(1, 1));
+        pair.run_until_events(1);
+        pair.context.poll();
+        const auto received_at = steady_clock::now();
+        asio::steady_timer peer_sends(pair.context, milliseconds(10));
+        peer_sends.async_wait([&](auto) { pair.write(frames_of_reports(2, 2)); });
+        // Both timers expire in the same pass, the one of the peer first.
+        std::this_thread::sleep_for(milliseconds(settings.silence_limit + 20));
+        pair.run_until_events(2);
+        pair.assert_events({"received 1", "received 2"});
+        CPPUNIT_ASSERT(!pair.link->is_closed());
+        // The peer sends nothing more.
+        pair.run_until_events(3);
+        CPPUNIT_ASSERT_EQUAL(std::string("closed silent"), pair.events.back());
+        const auto elapsed = steady_clock::now() - received_at;
+        CPPUNIT_ASSERT(elapsed >= milliseconds(2 * settings.silence_limit));
+        CPPUNIT_ASSERT(elapsed < milliseconds(2'000));
+    }
+
     // Guards against a connection that is kept for ever by bytes which never become a frame.
     void a_peer_that_completes_no_frame_is_not_kept() {
         link_settings settings;
