Apply entries of outstanding work before later committed ones

By reading: an entry whose application proposes could have the same effect in complete_ready, between writes_synced and apply. Change: take_immediate returns no entries while outstanding work contains some; log_node applies entries before it reports their work as written, the order that types.h asks for. Test: immediate_entries_overtake_outstanding_ones failed before and passes now. It covers the core; no test covers the order in log_node.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -113,8 +113,9 @@
     bool install_pending = false;
     std::vector<message> messages;
     bool ready_outstanding = false;
-    bool state_outstanding = false;   // the outstanding work contains a new term or vote
-    bool install_outstanding = false; // the outstanding work replaces the state machine
+    bool state_outstanding = false;     // the outstanding work contains a new term or vote
+    bool install_outstanding = false;   // the outstanding work replaces the state machine
+    bool committed_outstanding = false; // the outstanding work contains committed entries
 };
 
 } // namespace clementine::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -136,6 +136,7 @@
     out.messages.swap(c.messages);
     c.state_outstanding = out.state.has_value();
     c.install_outstanding = out.install;
+    c.committed_outstanding = !out.committed.empty();
     return out;
 }
 
@@ -144,7 +145,8 @@
     immediate_work out;
     if (c.role == replica_role::stopped)
         return out;
-    if (!c.snapshot_pending && !c.install_outstanding)
+    // Entries in the outstanding work are applied first.
+    if (!c.snapshot_pending && !c.install_outstanding && !c.committed_outstanding)
         out.committed = c.take_committed();
     // A leader of a term that is not durable may vote again in that term after a restart.
     if (!c.is_leader() || c.state_outstanding || c.hard != c.last_taken_state)
@@ -166,7 +168,8 @@
     auto& c = *core_;
     if (c.role == replica_role::stopped)
         return;
-    c.ready_outstanding = c.state_outstanding = c.install_outstanding = false;
+    c.ready_outstanding = c.state_outstanding = false;
+    c.install_outstanding = c.committed_outstanding = false;
     if (!done.append.empty()) {
         const auto& last = done.append.back();
         // Entries that were replaced in the log since take_ready() do not count as durable.
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -289,8 +289,9 @@
         log_event(log_level::info, "snapshot_installed").field("index", std::uint64_t{applied_});
     }
     send(work.messages);
-    core_->writes_synced(work);
+    // Before the core hands out later entries to a proposal that an entry causes.
     apply(work.committed);
+    core_->writes_synced(work);
 }
 
 void log_node::send(const std::vector<consensus::message>& messages) {
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(corrupt_or_duplicate_chunks_are_not_installed);
     CPPUNIT_TEST(messages_for_an_old_id_are_ignored);
     CPPUNIT_TEST(backward_clock_step_ends_the_lease);
+    CPPUNIT_TEST(immediate_entries_overtake_outstanding_ones);
     CPPUNIT_TEST_SUITE_END();
 
     static std::size_t applied_command_count(const test_cluster::node& node) {
@@ -235,6 +236,35 @@
         CPPUNIT_ASSERT_EQUAL(index_t{3}, core.commit_index());
     }
 
+    // Entries were applied out of order while earlier ones waited for a write, such as a snapshot.
+    void immediate_entries_overtake_outstanding_ones() {
+        replica core({.id = 1},
+                     {.state = {.term = 1, .vote = 0},
+                      .snap = bootstrap_snapshot(three_voters()),
+                      .entries = {}},
+                     0);
+        const auto now = tick_until(core, replica_role::pre_candidate, 0);
+        core.step({.from = 2, .to = 1, .term = 2, .body = vote_reply{true, true}}, now);
+        complete_ready(core);
+        core.step({.from = 2, .to = 1, .term = 2, .body = vote_reply{true, false}}, now);
+        core.propose("x");
+        complete_ready(core);
+        const auto acknowledge = [&](index_t index) {
+            const append_reply reply{
+                .accepted = true, .match = index, .prev_index = index, .sent_at = now};
+            core.step({.from = 2, .to = 1, .term = 2, .body = reply}, now);
+        };
+        acknowledge(2);
+        core.propose("y");
+        const auto outstanding = core.take_ready();
+        CPPUNIT_ASSERT(outstanding.has_writes());
+        CPPUNIT_ASSERT_EQUAL(index_t{2}, outstanding.committed.back().index);
+        acknowledge(3);
+        CPPUNIT_ASSERT(core.take_immediate().committed.empty());
+        core.writes_synced(outstanding);
+        CPPUNIT_ASSERT_EQUAL(index_t{3}, core.take_immediate().committed.front().index);
+    }
+
     // A delayed timeout_now lets the target campaign without waiting for the lease to end, so the
     // old leader must not hold the lease again in the same term.
     void unfinished_transfer_ends_the_term() {
