Use the iterator form of stable_partition, which clang-tidy can parse

clang-tidy stopped at replica.cpp with 4 errors in the ranges of libstdc++ 12 (sentinel_t not satisfied), so the file was not checked since take_immediate came. No change of behaviour; the linter reports no error for the file now.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -157,10 +157,10 @@
         return value.term != c.hard.term || !(std::holds_alternative<append_request>(value.body) ||
                                               std::holds_alternative<snapshot_chunk>(value.body));
     };
-    const auto first = std::ranges::stable_partition(c.messages, waits_for_writes);
-    out.messages.assign(std::make_move_iterator(first.begin()),
-                        std::make_move_iterator(first.end()));
-    c.messages.erase(first.begin(), first.end());
+    const auto first =
+        std::stable_partition(c.messages.begin(), c.messages.end(), waits_for_writes);
+    out.messages.assign(std::make_move_iterator(first), std::make_move_iterator(c.messages.end()));
+    c.messages.erase(first, c.messages.end());
     return out;
 }
 
