Soak: lose disks while all other hosts lose power, and take immediate work

No schedule did that, none had members that stay learners, and no host called take_immediate. Change: fault power-loss. Right after an accepted write, up to 100 ms after one was sent or accepted, or while a membership change is pending (after a lost disk, whose replacement joins), all hosts crash, unsynced data is lost, and up to the tolerated number of voters come back empty, half of the time the oldest. 30% of the clusters have 1 to 4 learners besides; half of them promote a replacement before the old voter is removed, as log_node does at its minimum of voters. Hosts take immediate work at random inputs, also while a write is under way. A wiped disk no longer counts as intact while its host is down.

--- a/tests/soak/fake_files.h
+++ b/tests/soak/fake_files.h
@@ -31,6 +31,7 @@
     void kill();
     // Replaces the disk by an empty one.
     void wipe();
+    bool empty() const { return live_.empty(); }
     // Flips a random bit in a synced file whose path starts with `prefix`. False if there is none
     // with data.
     bool flip_bit(const std::string& prefix);
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -18,6 +18,7 @@
 // Ratio of the fastest clock to the slowest; the specified limit is 10%.
 constexpr double fastest_clock = 1.1;
 constexpr int max_send_attempts = 60;
+constexpr std::size_t max_spares = 4;
 
 } // namespace
 
@@ -41,7 +42,11 @@
     tuning.trailing_entries = random_.below(20);
     tuning.segment_bytes = 256 + random_.below(4'096);
     tuning.snapshot_padding = chance(0.1) ? snapshot_chunk_bytes * 2 : 0;
-    const std::size_t count = chance(0.7) ? 3 : 5;
+    voter_hosts_ = chance(0.7) ? 3 : 5;
+    environment_.max_voters = voter_hosts_;
+    environment_.promote_before_removal = chance(0.5);
+    immediate_probability_ = chance(0.2) ? 0 : random_.unit();
+    const auto count = voter_hosts_ + (chance(0.3) ? 1 + random_.below(max_spares) : 0);
     for (std::size_t i = 0; i < count; ++i) {
         hosts_.push_back(std::make_unique<soak_host>(i, environment_, tuning, random_.next()));
         hosts_[i]->files.short_transfers = chance(0.2);
@@ -90,10 +95,13 @@
 
 void schedule::start_cluster() {
     membership initial;
-    for (std::size_t i = 0; i < hosts_.size(); ++i)
+    for (std::size_t i = 0; i < voter_hosts_; ++i)
         initial.members.push_back({.id = i + 1, .node = hosts_[i]->node(), .voter = true});
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        hosts_[i]->start(std::pair(replica_id{i + 1}, bootstrap_snapshot(initial)));
+        if (i < voter_hosts_)
+            hosts_[i]->start(std::pair(replica_id{i + 1}, bootstrap_snapshot(initial)));
+        else
+            hosts_[i]->start(std::nullopt);
         host_by_replica_[hosts_[i]->id()] = i;
         tick_host(i);
         report_joining(i);
@@ -145,7 +153,7 @@
 }
 
 void schedule::check_progress() {
-    if (!majority_alive(std::nullopt))
+    if (!majority_alive({}))
         return;
     checker_.expect(lease_holder().has_value(), "leader_after_heal", describe());
     checker_.expect(operations_after_faults_ > 0, "progress_after_heal", describe());
@@ -216,10 +224,16 @@
     }
 }
 
+void schedule::send_immediate(std::size_t host) {
+    if (chance(immediate_probability_))
+        send_all(host, hosts_[host]->do_immediate_work());
+}
+
 // Saves the pending work of a replica. A sync takes 0.5 to 10.5 ms, or up to 1 s more on a stalled
 // disk.
 void schedule::process_ready(std::size_t host) {
     auto& target = *hosts_[host];
+    send_immediate(host);
     while (target.take_work()) {
         const auto incarnation = target.incarnation();
         if (target.work_has_writes()) {
@@ -229,6 +243,7 @@
             if (!faults_ended_ && chance(0.01))
                 latency += static_cast<true_time>(random_.below(second));
             schedule_after(latency, [this, host, incarnation] { finish_save(host, incarnation); });
+            send_immediate(host);
             return;
         }
         finish_save(host, incarnation);
@@ -279,6 +294,8 @@
         return;
     target.tick();
     process_ready(host);
+    if (target.running() && target.core()->status().change_pending)
+        power_loss_due(power_loss_cause::membership_changed);
 }
 
 void schedule::report_joining(std::size_t host) {
@@ -324,6 +341,8 @@
     transmit(hosts_.size() + number, target, [this, target, request] {
         in_process(target, [this, target, request] { hosts_[target]->serve(request); });
     });
+    if (request.write)
+        power_loss_due(power_loss_cause::write_sent);
     schedule_after(static_cast<true_time>(200 + random_.below(800)) * millisecond,
                    [this, number, request_id, made = attempts + 1] {
                        send_attempt(number, request_id, made);
@@ -347,6 +366,8 @@
     }
     if (answer.write)
         checker_.write_finished(answer.request_id, answer.result, now_);
+    if (answer.write && answer.result.accepted)
+        power_loss_due(power_loss_cause::write_accepted);
     if (!current)
         return;
     if (!answer.write)
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -27,19 +27,24 @@
     freeze,
     member_removed,
     leadership_transfer,
-    lease_race // a follower asks for votes while the others still support the leader
+    lease_race, // a follower asks for votes while the others still support the leader
+    power_loss  // all hosts crash at one moment, and as many as tolerated lose their disks
 };
 
 // How a lease race tries to obtain the votes of the other followers while the lease is valid.
 enum class lease_race_kind { wait, restart, step_voters, step_leader, transfer, late_transfer };
 inline constexpr std::size_t lease_race_kind_count = 6;
 
-inline constexpr name_table<18> fault_names{
+// What a power loss follows at once or a few ms later.
+enum class power_loss_cause { write_accepted, write_sent, membership_changed };
+inline constexpr std::size_t power_loss_cause_count = 3;
+
+inline constexpr name_table<19> fault_names{
     "machine-crash",       "process-kill",      "crash-in-write", "disk-loss",
     "second-disk-loss",    "flipped-bit",       "failed-sync",    "full-disk",
     "one-way-partition",   "two-way-partition", "leader-cut-off", "bad-network",
     "clock-rate",          "clock-step",        "freeze",         "member-removed",
-    "leadership-transfer", "lease-race"};
+    "leadership-transfer", "lease-race",        "power-loss"};
 constexpr const auto& names_of(fault) {
     return fault_names;
 }
@@ -108,6 +113,7 @@
     void transmit(std::size_t from, std::size_t to, std::function<void()> action);
     // Runs an action in a host's process: after its freeze if it is frozen, never if it is down.
     void in_process(std::size_t host, std::function<void()> action);
+    void send_immediate(std::size_t host);
     void send_all(std::size_t from, const std::vector<message>& messages);
     void process_ready(std::size_t host);
     void finish_save(std::size_t host, std::uint64_t incarnation);
@@ -130,6 +136,10 @@
     void lose_disk(std::size_t host);
     bool start_lease_race();
     void run_lease_race(lease_race_kind kind, std::size_t leader, std::size_t isolated_follower);
+    void start_power_loss();
+    // Starts the awaited power loss if `cause` is what it awaits.
+    void power_loss_due(power_loss_cause cause);
+    void run_power_loss();
     void isolate(std::size_t host, true_time duration);
     void transfer(std::size_t leader, std::size_t to);
     void lose_disk_after_repair(std::size_t host);
@@ -138,12 +148,13 @@
     true_time random_duration(true_time longest);
     void end_faults();
     // True if every membership that a voter knows has a majority of voters with intact disks.
-    bool majority_alive(std::optional<std::size_t> without) const;
+    bool majority_alive(const std::set<std::size_t>& without) const;
 
     random_source random_;
     invariant_checker checker_;
     host_environment environment_;
     std::vector<std::unique_ptr<soak_host>> hosts_;
+    std::size_t voter_hosts_ = 0; // the hosts after these are spares
     std::vector<client> clients_;
     std::map<replica_id, std::size_t> host_by_replica_; // every id ever used
     std::map<std::pair<std::size_t, std::size_t>, true_time>
@@ -153,6 +164,8 @@
     true_time now_ = 0;
     true_time fault_end_ = 0;
     true_time no_writes_until_ = 0;
+    std::optional<power_loss_cause> awaited_cause_; // of the next power loss
+    double immediate_probability_ = 0; // that a host takes its immediate work at an input
     std::uint64_t event_number_ = 0;
     std::uint64_t next_request_ = 1;
     std::uint64_t initial_violations_ = 0;
--- a/tests/soak/schedule_faults.cpp
+++ b/tests/soak/schedule_faults.cpp
@@ -58,6 +58,9 @@
     case fault::leadership_transfer:
         injected = inject_membership_fault(kind);
         break;
+    case fault::power_loss:
+        start_power_loss(); // counted when it happens
+        break;
     case fault::lease_race:
         injected = start_lease_race();
         break;
@@ -107,7 +110,7 @@
     return true;
 }
 
-bool schedule::majority_alive(std::optional<std::size_t> without) const {
+bool schedule::majority_alive(const std::set<std::size_t>& without) const {
     bool any = false;
     for (const auto& host : hosts_) {
         const auto& members = host->known_members();
@@ -116,8 +119,9 @@
         std::size_t alive = 0;
         for (const auto& each : members.members) {
             const auto host_index = host_of(each.id);
-            const bool intact =
-                host_index && *host_index != without && hosts_[*host_index]->id() == each.id;
+            const bool intact = host_index && !without.contains(*host_index) &&
+                                hosts_[*host_index]->id() == each.id &&
+                                !hosts_[*host_index]->files.empty();
             alive += each.voter && intact ? 1 : 0;
         }
         if (alive < members.quorum())
@@ -128,7 +132,7 @@
 }
 
 bool schedule::may_lose_disk(std::size_t host) {
-    return majority_alive(host) || chance(majority_loss_probability);
+    return majority_alive({host}) || chance(majority_loss_probability);
 }
 
 void schedule::lose_disk(std::size_t host) {
@@ -154,6 +158,50 @@
         lose_disk(next);
 }
 
+// For a membership change, a lost disk comes first, whose replacement then joins.
+void schedule::start_power_loss() {
+    awaited_cause_ = static_cast<power_loss_cause>(random_.below(power_loss_cause_count));
+    const auto host = random_host();
+    if (awaited_cause_ == power_loss_cause::membership_changed && hosts_[host]->running() &&
+        may_lose_disk(host))
+        lose_disk(host);
+}
+
+void schedule::power_loss_due(power_loss_cause cause) {
+    if (faults_ended_ || awaited_cause_ != cause)
+        return;
+    awaited_cause_.reset();
+    const auto delay =
+        chance(0.3) ? 0 : random_duration(chance(0.5) ? 5 * millisecond : 100 * millisecond);
+    schedule_after(delay, [this] { run_power_loss(); });
+}
+
+// Half of the time the oldest voters lose their disks: first ids are lower than random ones.
+void schedule::run_power_loss() {
+    if (faults_ended_)
+        return;
+    ++report_.faults[static_cast<std::size_t>(fault::power_loss)];
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < hosts_.size(); ++i)
+        order.insert(order.begin() + static_cast<std::ptrdiff_t>(random_.below(i + 1)), i);
+    if (chance(0.5))
+        std::ranges::sort(order, {}, [this](std::size_t host) { return hosts_[host]->id(); });
+    std::set<std::size_t> lost;
+    for (const auto host : order) {
+        auto with = lost;
+        with.insert(host);
+        if (lost.size() < (voter_hosts_ - 1) / 2 && majority_alive(with))
+            lost = with;
+    }
+    const auto longest = chance(0.5) ? second : 6 * second;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        stop_host(i, true, 50 * millisecond + random_duration(longest));
+        hosts_[i]->frozen_until = 0;
+        if (lost.contains(i))
+            hosts_[i]->files.wipe();
+    }
+}
+
 void schedule::cut_link(std::size_t from, std::size_t to, true_time duration) {
     auto& end = link_cuts_[{from, to}];
     end = std::max(end, now_ + duration);
--- a/tests/soak/soak_host.cpp
+++ b/tests/soak/soak_host.cpp
@@ -147,9 +147,9 @@
                          .redirect = core_->leader()});
 }
 
-// A replacement joins as a learner, catches up and then replaces the old replicas of its node. The
-// old replica is removed before the promotion, so that a second loss right after it happens with
-// three voters.
+// A replacement joins as a learner, catches up and then replaces the old replicas of its node. If
+// the old replica is removed before the promotion, a second loss right after it happens with three
+// voters.
 void soak_host::join(replica_id id, const std::string& node) {
     if (core_->role() != replica_role::leader)
         return;
@@ -158,16 +158,21 @@
     const bool caught_up =
         std::any_of(status.progress.begin(), status.progress.end(),
                     [id](const auto& each) { return each.id == id && each.caught_up; });
+    const bool may_remove =
+        own != nullptr && (own->voter || (caught_up && !environment_.promote_before_removal));
+    bool replaces_voter = false;
     for (const auto& each : status.membership.members) {
         const bool replaced = each.node == node && each.id != id;
-        if (replaced && (!each.voter || (own != nullptr && (own->voter || caught_up)))) {
+        if (replaced && (!each.voter || may_remove)) {
             change(remove_member{each.id});
             return;
         }
+        replaces_voter = replaces_voter || replaced;
     }
     if (own == nullptr)
         change(add_learner{.id = id, .node = node});
-    else if (!own->voter)
+    else if (!own->voter &&
+             (replaces_voter || status.membership.voter_count() < environment_.max_voters))
         promote(id, status.commit);
     check_replica();
 }
@@ -203,6 +208,19 @@
     return true;
 }
 
+std::vector<message> soak_host::do_immediate_work() {
+    if (!running())
+        return {};
+    auto work = core_->take_immediate();
+    for (const auto& each : work.messages)
+        environment_.checker->message_sent(id_, each);
+    for (const auto& each : work.committed)
+        apply(each);
+    answer_reads();
+    check_replica();
+    return std::move(work.messages);
+}
+
 save_result soak_host::finish_work(std::vector<message>& outgoing) {
     const auto error = storage_->save(*work_);
     if (error && files.stopped())
--- a/tests/soak/soak_host.h
+++ b/tests/soak/soak_host.h
@@ -65,6 +65,9 @@
     random_source* random = nullptr;
     // Last synced index of a replica; nothing if it is not running.
     std::function<std::optional<index_t>(replica_id)> durable_index;
+    std::size_t max_voters = 0; // further hosts stay learners
+    // The order in which a voter whose disk is lost is replaced.
+    bool promote_before_removal = false;
 };
 
 struct host_tuning {
@@ -111,6 +114,8 @@
     bool take_work();
     bool work_has_writes() const { return work_->has_writes(); }
     save_result finish_work(std::vector<message>& outgoing);
+    // Does what need not wait for writes, also while work is outstanding. Returns what to send.
+    std::vector<message> do_immediate_work();
 
     vm_clock clock;
     fake_file_system files;
