Execute the leader's work in short slices and refuse submissions that waited too long

Cause: overload without shedding. Orders, answers of workers and callers' requests were executed as they came, each to its end; messages between control nodes waited behind them, and nothing bounded how long a submission waited. Change: work_queue holds orders, answers and callers' requests; slices of 3 ms execute them, orders and answers before requests, one request in five. A submission that waited for 300 ms is refused before it is decoded, with a Retry-After: it has not run. A round starts no sooner than three times the duration of the last one, 60 ms at most, so that decisions leave time for their execution. Orders of a former leadership are dropped. leader_load has the size and the age of the queue. Why it works: the loop comes back to links and timers after 3 ms, and the backlog is bounded by refusals instead of by time-outs. Tests: work_queue_test (submissions_delay_accepted_work, surge_of_orders_starves_callers) replays both patterns in virtual time; the queue is new, so there is no run of them on the code before.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -24,6 +24,16 @@
 // With many workers each round costs more, and a longer delay saves log entries and syncs.
 constexpr time_ms round_delay{3};
 constexpr time_ms round_delay_many_workers{15};
+// A round starts no sooner after the last one than this multiple of its duration, which leaves most
+// of the time to the execution of decisions.
+constexpr time_ms round_pause_factor = 3;
+constexpr time_ms max_round_delay{60};
+// Queued work is executed for this long before other events are handled.
+constexpr time_ms work_slice{3};
+// A submission that waited longer is refused, before its entry node takes the leader for silent
+// (450 ms) and sends it again.
+constexpr time_ms max_submission_wait{300};
+constexpr time_ms overload_retry_after{1'000};
 // Operations wait this long to be batched into one log entry.
 constexpr time_ms flush_delay{2};
 constexpr time_ms flush_delay_many_workers{5};
@@ -382,6 +392,7 @@
         pending_commands_.clear();
         proposals_.clear();
         submissions_.clear();
+        work_.clear();
     }
     if (serving && !controller_.leading()) {
         metrics_.add("clementine_leaderships", {});
@@ -465,7 +476,10 @@
         .field("commit_ms", load.max_commit_delay)
         .field("lease", log_->holds_lease())
         .field("declined_calls", load.declined_calls)
-        .field("uncommitted", std::uint64_t{pending_commands_.size()});
+        .field("uncommitted", std::uint64_t{pending_commands_.size()})
+        .field("queued_work", std::uint64_t{work_.size()})
+        .field("order_age_ms", work_.oldest_age(work_class::accepted_work, now))
+        .field("request_age_ms", work_.oldest_age(work_class::caller_request, now));
     for (std::size_t i = 0; i < load.work_done.size(); ++i) {
         const auto& item = load.work_done[i];
         const std::string name(activity_names[i]);
@@ -483,17 +497,26 @@
         load_.observe_declined_call();
         return false;
     }
-    const bool from_caller = request.origin == wire::call_origin::caller;
-    const load_monitor::timer timer(load_, from_caller ? activity::caller_request
-                                                       : activity::fleet_request);
-    if (from_caller)
-        handle_caller(request, reply);
-    else
-        handle_fleet(request, reply);
+    if (request.origin == wire::call_origin::caller) {
+        queue_work(work_class::caller_request, [this, request, reply](time_ms waited) {
+            const load_monitor::timer timer(load_, activity::caller_request);
+            handle_caller(request, reply, waited);
+        });
+        return true;
+    }
+    const load_monitor::timer timer(load_, activity::fleet_request);
+    handle_fleet(request, reply);
     return true;
 }
 
-void job_control::handle_caller(const wire::call& request, const reply_handler& reply) {
+void job_control::handle_caller(const wire::call& request, const reply_handler& reply,
+                                time_ms waited) {
+    if (!log_->serving()) {
+        load_.observe_declined_call();
+        wire::call_reply declined;
+        declined.id = request.id;
+        return reply(declined);
+    }
     if (table_.config().version == 0)
         return reply(make_reply(request.id, status_unavailable));
     const auto path = without_query(request.target);
@@ -507,7 +530,7 @@
     if (!protocol_.is_job_id(id))
         return reply(make_reply(request.id, status_bad_request));
     if (request.method == "POST")
-        return submit(*queue, id, request, reply);
+        return submit(*queue, id, request, reply, waited);
     if (request.method == "DELETE")
         return cancel(id, request, reply);
     const auto* job = table_.find_job(id);
@@ -517,7 +540,7 @@
 }
 
 void job_control::submit(const queue_config& queue, const std::string& id,
-                         const wire::call& request, const reply_handler& reply) {
+                         const wire::call& request, const reply_handler& reply, time_ms waited) {
     if (table_.find_job(id))
         return reply(make_reply(request.id, status_ok));
     // A resent submission shares the result of the first: refusing it would be wrong if the first
@@ -526,6 +549,15 @@
         first->second.push_back({request.id, reply});
         return;
     }
+    if (waited > max_submission_wait) {
+        log_event(log_level::info, "job_refused")
+            .field("job", id)
+            .field("queue", queue.name)
+            .field("waited_ms", waited)
+            .field("retry_after_ms", overload_retry_after);
+        metrics_.add("clementine_jobs", {{"queue", queue.name}, {"outcome", "refused"}});
+        return reply(make_reply(request.id, status_unavailable, {}, overload_retry_after));
+    }
     std::string reason;
     auto spec = protocol_.decode_job(request.body, reason);
     if (!spec) {
@@ -710,8 +742,10 @@
 void job_control::request_round() {
     if (std::exchange(round_due_, true))
         return;
-    const auto delay =
+    const auto batching =
         controller_.workers().size() < large_fleet_workers ? round_delay : round_delay_many_workers;
+    const auto delay =
+        std::max(batching, std::min(round_pause_factor * last_round_time_, max_round_delay));
     round_timer_.expires_after(std::chrono::milliseconds(delay));
     round_timer_.async_wait([this](boost::system::error_code error) {
         round_due_ = false;
@@ -725,7 +759,9 @@
     if (!was_serving_)
         return;
     const load_monitor::timer timer(load_, activity::round);
-    auto planned = controller_.decide(clock_.now(), wall_clock_ms());
+    const auto started = clock_.now();
+    auto planned = controller_.decide(started, wall_clock_ms());
+    last_round_time_ = clock_.now() - started;
     auto orders = std::move(planned.orders);
     planned.orders.clear();
     if (!planned.log.empty() || !planned.ends.empty()) {
@@ -741,6 +777,26 @@
         send(std::move(item));
 }
 
+void job_control::queue_work(work_class kind, work_queue::work item) {
+    work_.push(kind, clock_.now(), std::move(item));
+    schedule_work();
+}
+
+void job_control::schedule_work() {
+    if (std::exchange(work_due_, true))
+        return;
+    asio::post(loop_, [this] {
+        work_due_ = false;
+        if (stopped_)
+            return;
+        const auto end = clock_.now() + work_slice;
+        while (work_.run_one(clock_.now()) && clock_.now() < end) {
+        }
+        if (!work_.empty())
+            schedule_work();
+    });
+}
+
 http_pool& job_control::worker_pool(const std::string& address, bool for_holds) {
     auto& pools = worker_pools_[address];
     if (!pools.holds) {
@@ -768,6 +824,15 @@
         return send_vm_order(std::move(value), {}, {});
     if (std::holds_alternative<advise_order>(value))
         return send_advise_order(std::move(value));
+    queue_work(work_class::accepted_work,
+               [this, value = std::move(value), fence = controller_.fence()](time_ms) {
+                   // Another leader, or a later term, decides anew.
+                   if (controller_.fence() == fence)
+                       send_worker_order(value);
+               });
+}
+
+void job_control::send_worker_order(const order& value) {
     const auto encoded = protocol_.encode_order(value, settings_.node, {});
     const auto* hold = std::get_if<hold_order>(&value);
     const auto& address = std::visit(
@@ -781,8 +846,10 @@
     const auto limit = hold ? hold->wait + hold_timeout_margin : order_timeout;
     worker_pool(address, hold != nullptr)
         .request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
-                 [this, value = std::move(value)](const http_result& exchange) {
-                     observe_result(value, decode_result(value, exchange), exchange);
+                 [this, value](const http_result& exchange) {
+                     queue_work(work_class::accepted_work, [this, value, exchange](time_ms) {
+                         observe_result(value, decode_result(value, exchange), exchange);
+                     });
                  });
 }
 
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -10,6 +10,7 @@
 #include "control/load_monitor.h"
 #include "control/log_node.h"
 #include "control/proposal_queue.h"
+#include "control/work_queue.h"
 #include "workload/controller.h"
 #include "workload/fleet_protocol.h"
 
@@ -93,9 +94,10 @@
 
     // Requests.
     bool handle_call(const wire::call& request, const reply_handler& reply);
-    void handle_caller(const wire::call& request, const reply_handler& reply);
+    // `waited`: time in the queue.
+    void handle_caller(const wire::call& request, const reply_handler& reply, time_ms waited);
     void submit(const workload::queue_config& queue, const std::string& id,
-                const wire::call& request, const reply_handler& reply);
+                const wire::call& request, const reply_handler& reply, time_ms waited);
     void cancel(const std::string& id, const wire::call& request, const reply_handler& reply);
     void handle_fleet(const wire::call& request, const reply_handler& reply);
     void handle(const workload::announce_worker& request, std::uint64_t id,
@@ -118,7 +120,11 @@
     // Decisions and orders.
     void request_round();
     void run_round();
+    // Executes `item` soon; see work_queue.h.
+    void queue_work(work_class kind, work_queue::work item);
+    void schedule_work();
     void send(workload::order value);
+    void send_worker_order(const workload::order& value);
     void send_advise_order(workload::order value);
     workload::order_result decode_result(const workload::order& value,
                                          const http_result& exchange) const;
@@ -153,6 +159,8 @@
     };
     std::map<std::string, worker_pools> worker_pools_;
     std::multimap<consensus::index_t, pending_command> pending_commands_;
+    work_queue work_;
+    bool work_due_ = false;
     proposal_queue proposals_{consensus::max_entry_bytes};
     // Jobs that are not committed yet, with all callers that submitted them.
     std::map<std::string, std::vector<pending_caller>> submissions_;
@@ -161,6 +169,7 @@
     boost::asio::steady_timer tick_timer_;
     boost::asio::steady_timer round_timer_;
     bool round_due_ = false;
+    time_ms last_round_time_{0}; // time that the last round took
     bool was_serving_ = false;
     time_ms directory_published_at_{0};
     time_ms join_requested_at_{0};
