Count the delay of orders in admission

Cause: admission compared waiting work with the capacity of the pool, as if a leader sent orders at once. Where the leader is the bottleneck, each step of a job waits for its orders. Change: check_admission takes the age of the oldest order and of the oldest proposal that is not committed; admit adds it for each step of the longest chain. Why it works: a job that cannot be on time any more is refused at once with a Retry-After, and the jobs accepted before it start sooner. Test: accepts_jobs_whose_orders_leave_too_late; before, admit had no such input and accepted.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -566,7 +566,8 @@
     }
     controller_.record_offered_job(queue, id, *spec, clock_.now());
     const auto load = controller_.load_of(queue.pool, clock_.now());
-    const auto decision = controller_.check_admission(queue, *spec, clock_.now());
+    const auto delay = order_delay();
+    const auto decision = controller_.check_admission(queue, *spec, delay, clock_.now());
     log_event(log_level::info, decision.accepted ? "job_accepted" : "job_refused")
         .field("job", id)
         .field("queue", queue.name)
@@ -574,6 +575,7 @@
         .field("waiting_work", load.waiting_work)
         .field("capacity", load.capacity)
         .field("arriving", load.arriving_cpu)
+        .field("order_delay_ms", delay)
         .field("retry_after_ms", decision.retry_after);
     metrics_.add("clementine_jobs",
                  {{"queue", queue.name}, {"outcome", decision.accepted ? "accepted" : "refused"}});
@@ -797,6 +799,13 @@
     });
 }
 
+time_ms job_control::order_delay() const {
+    const auto now = clock_.now();
+    const auto uncommitted =
+        pending_commands_.empty() ? 0 : now - pending_commands_.begin()->second.proposed_at;
+    return uncommitted + work_.oldest_age(work_class::accepted_work, now);
+}
+
 http_pool& job_control::worker_pool(const std::string& address, bool for_holds) {
     auto& pools = worker_pools_[address];
     if (!pools.holds) {
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -123,6 +123,8 @@
     // Executes `item` soon; see work_queue.h.
     void queue_work(work_class kind, work_queue::work item);
     void schedule_work();
+    // Time that an order decided now waits until it leaves.
+    time_ms order_delay() const;
     void send(workload::order value);
     void send_worker_order(const workload::order& value);
     void send_advise_order(workload::order value);
--- a/src/workload/admission.cpp
+++ b/src/workload/admission.cpp
@@ -20,13 +20,14 @@
     const auto slack = static_cast<double>(input.target_latency) +
                        (input.stretch - 1.0) * static_cast<double>(input.critical_path);
     const auto max_wait = static_cast<time_ms>(usable_slack * slack);
-    if (input.wait <= max_wait)
+    const auto wait = input.wait + input.order_delay * static_cast<time_ms>(input.chained_steps);
+    if (wait <= max_wait)
         return {true, 0};
     // A new leader has listed all VMs within about 100 ms; a wait computed before that is
     // meaningless.
     if (!input.capacity_known)
         return {false, min_retry_after};
-    return {false, std::max(min_retry_after, input.wait - max_wait)};
+    return {false, std::max(min_retry_after, wait - max_wait)};
 }
 
 time_ms critical_path_length(const job_spec& spec, double rate) {
@@ -42,6 +43,19 @@
     return longest;
 }
 
+std::size_t longest_step_chain(const job_spec& spec) {
+    std::vector<std::size_t> chains;
+    std::size_t longest = 0;
+    for (const auto& step : spec.steps) {
+        std::size_t before = 0;
+        for (const auto earlier : step.depends_on)
+            before = std::max(before, chains[earlier]);
+        chains.push_back(before + 1);
+        longest = std::max(longest, chains.back());
+    }
+    return longest;
+}
+
 std::int64_t estimated_work(const job_spec& spec, double rate) {
     double sum = 0;
     for (const auto& step : spec.steps)
--- a/src/workload/admission.h
+++ b/src/workload/admission.h
@@ -2,7 +2,8 @@
 //
 // Load pattern: a queue offers four to five times its mean load for some seconds, more than its
 // pool can serve. Jobs accepted beyond that wait, end late and delay all jobs behind them; a
-// rejected caller can retry once there is capacity.
+// rejected caller can retry once there is capacity. The same holds if the leader cannot send orders
+// as fast as jobs arrive: then each step of a job waits for its orders.
 #pragma once
 
 #include "workload/job_table.h"
@@ -10,8 +11,10 @@
 namespace clementine::workload {
 
 struct admission_input {
-    time_ms critical_path{0}; // estimated length of the job's critical path
-    time_ms wait{0};          // until all work accepted earlier has started
+    time_ms critical_path{0};      // estimated length of the job's critical path
+    time_ms wait{0};               // until all work accepted earlier has started
+    time_ms order_delay{0};        // from a decision to the order that carries it out
+    std::size_t chained_steps = 1; // steps on the longest path, each of which needs a decision
     time_ms target_latency{0};
     double stretch = 1.0;
     bool long_running = false;
@@ -28,6 +31,8 @@
 
 // Critical path of a job by its estimates, in ms; `rate` is the ratio of actual to estimated time.
 time_ms critical_path_length(const job_spec& spec, double rate);
+// Number of steps on the longest path through a job.
+std::size_t longest_step_chain(const job_spec& spec);
 // Estimated work in thousandths of a core times ms.
 std::int64_t estimated_work(const job_spec& spec, double rate);
 // The same two values for the tasks that are not done.
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -97,8 +97,10 @@
     // `wall` is the wall clock, used for scheduled jobs.
     decisions decide(time_ms now, time_ms wall);
 
-    // Decides whether to accept a new job of a queue.
-    admission check_admission(const queue_config& queue, const job_spec& spec, time_ms now);
+    // Decides whether to accept a new job of a queue. `order_delay`: time from a decision to the
+    // order that carries it out.
+    admission check_admission(const queue_config& queue, const job_spec& spec, time_ms order_delay,
+                              time_ms now);
     const pool_load& load_of(const std::string& pool, time_ms now);
     const std::map<std::string, worker>& workers() const { return workers_; }
     const controller_counters& counters() const { return counters_; }
--- a/src/workload/controller_loads.cpp
+++ b/src/workload/controller_loads.cpp
@@ -113,7 +113,7 @@
 }
 
 admission controller::check_admission(const queue_config& queue, const job_spec& spec,
-                                      time_ms now) {
+                                      time_ms order_delay, time_ms now) {
     load_of(queue.pool, now);
     auto& load = loads_[queue.pool];
     const auto rate = estimate_rate(queue.name);
@@ -124,6 +124,8 @@
     input.long_running = std::ranges::any_of(spec.steps, &step_spec::long_running);
     input.scheduled = spec.times > 0;
     input.wait = expected_wait(load, vms_.move_time());
+    input.order_delay = order_delay;
+    input.chained_steps = longest_step_chain(spec);
     input.capacity_known = vms_.capacity_known();
     const auto decision = admit(input);
     // Included until the next measurement.
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -534,7 +534,7 @@
 bool fake_fleet::submit(const std::string& queue, const std::string& id, job_spec spec) {
     const auto& config = *table_.config().find_queue(queue);
     controller_->record_offered_job(config, id, spec, now_);
-    if (!controller_->check_admission(config, spec, now_).accepted)
+    if (!controller_->check_admission(config, spec, 0, now_).accepted)
         return false;
     command value{now_, {submit_job{id, queue, config.pool, config.attempts, std::move(spec)}}};
     table_.apply(value, term_);
--- a/tests/workload/policy_test.cpp
+++ b/tests/workload/policy_test.cpp
@@ -24,6 +24,7 @@
 class policy_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(policy_test);
     CPPUNIT_TEST(rejects_jobs_that_would_be_late);
+    CPPUNIT_TEST(accepts_jobs_whose_orders_leave_too_late);
     CPPUNIT_TEST(arriving_vms_shorten_expected_wait);
     CPPUNIT_TEST(retry_after_is_short_while_capacity_is_unknown);
     CPPUNIT_TEST(critical_path_follows_dependencies);
@@ -52,6 +53,29 @@
         CPPUNIT_ASSERT(admit(input).accepted);
     }
 
+    // A leader without enough processor time went on accepting jobs while each order waited for
+    // half a second, and nearly all of them ended late.
+    void accepts_jobs_whose_orders_leave_too_late() {
+        step_spec step;
+        step.estimate = 800;
+        job_spec spec;
+        spec.steps = {step, step, step};
+        spec.steps[2].depends_on = {1};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, longest_step_chain(spec));
+        admission_input input;
+        input.critical_path = 1'600;
+        input.target_latency = 600;
+        input.stretch = 1.6;
+        input.order_delay = 500;
+        CPPUNIT_ASSERT(admit(input).accepted); // one step: 500 ms of 1,248 ms
+        input.chained_steps = 3;
+        const auto refused = admit(input);
+        CPPUNIT_ASSERT(!refused.accepted);
+        CPPUNIT_ASSERT_EQUAL(time_ms{1'000}, refused.retry_after);
+        input.long_running = true;
+        CPPUNIT_ASSERT(admit(input).accepted);
+    }
+
     void arriving_vms_shorten_expected_wait() {
         pool_load load;
         load.capacity = 16'000;
