--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -233,6 +233,10 @@
     return core_->log.members();
 }
 
+const membership& replica::committed_members() const {
+    return core_->log.members_at(core_->commit);
+}
+
 replica_role replica::role() const {
     return core_->role;
 }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -174,6 +174,8 @@
     replica_status status() const;
     // Membership as of the end of the log.
     const membership& members() const;
+    // Membership that no later leader can lack.
+    const membership& committed_members() const;
     replica_role role() const;
     term_t term() const;
     replica_id leader() const;
--- a/tests/control/log_node_test.cpp
+++ b/tests/control/log_node_test.cpp
@@ -119,6 +119,7 @@
     CPPUNIT_TEST(commit_waits_for_a_later_write);
     CPPUNIT_TEST(leader_serves_nothing_until_a_commit_is_applied);
     CPPUNIT_TEST(leader_with_a_stalled_disk_keeps_the_leadership);
+    CPPUNIT_TEST(membership_is_published_before_it_is_committed);
     CPPUNIT_TEST_SUITE_END();
 
     struct replica {
@@ -286,6 +287,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, turned_away);
     }
 
+    // A voter that saw its removal published discarded its log, although the removal could still be
+    // lost with the leader.
+    void membership_is_published_before_it_is_committed() {
+        auto& leading = elect_leader();
+        std::string joining;
+        for (auto& [name, item] : replicas_) {
+            if (&item == &leading)
+                continue;
+            item.files.gate.close();
+            joining = name;
+        }
+        constexpr consensus::replica_id new_id = 99;
+        leading.log->request_join(joining, new_id);
+        const auto before = received_by_followers(leading);
+        CPPUNIT_ASSERT(wait_for([&] { return received_by_followers(leading) == before + 2; }, 200));
+        CPPUNIT_ASSERT(leading.log->members().find(new_id) == nullptr);
+        for (auto& [name, item] : replicas_)
+            item.files.gate.open();
+        CPPUNIT_ASSERT(
+            wait_for([&] { return leading.log->members().find(new_id) != nullptr; }, 200));
+    }
+
     // Heartbeats do not wait for writes, but a leader whose disk hangs must not go on sending them.
     void leader_with_a_stalled_disk_keeps_the_leadership() {
         auto& stalled = elect_leader();
