Process soak: kill all processes at one moment, wipe disks, overlap signals

Change: all processes are killed at one moment, right after an acknowledged configuration or submission, up to 100 ms later or at any time, while up to the tolerated number of control folders is wiped, half of the time only those of seeds. Connections of callers stay open across requests, as before. New checks: no request stays without an answer or a closed connection for 4 s unless its process was killed or paused; a configuration that was read is not taken back later. The new checks have not been tried against broken programs.

--- a/tests/process_soak/main.cpp
+++ b/tests/process_soak/main.cpp
@@ -1,7 +1,7 @@
 // Soak test of the real programs under injected faults: processes are killed, paused, stopped and
 // lose their data, links to workers are delayed, reset and dropped, and operators send concurrent
 // configurations while callers submit jobs. Checks the results that callers and workers observe.
-// Usage: process_soak --programs DIR [--seed N] [--seconds S] [--folder DIR]
+// Usage: process_soak --programs DIR [--seed N] [--seconds S] [--folder DIR] [--size small|large]
 #include "base/ini.h"
 #include "base/random.h"
 #include "control/http_pool.h"
@@ -11,11 +11,13 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <deque>
 #include <iostream>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace {
 
@@ -23,8 +25,6 @@
 using namespace clementine::control;
 using namespace clementine::process_soak;
 
-constexpr int worker_count = 4;
-constexpr int max_control_nodes_down = 1;
 constexpr time_ms job_interval{60};
 constexpr time_ms config_interval{700};
 constexpr time_ms fault_interval{600};
@@ -34,11 +34,22 @@
 constexpr time_ms catch_up_time{6'000};
 constexpr unsigned status_ok = 200;
 
+struct deployment_size {
+    int controls = 5;
+    int entries = 2;
+    int workers = 4;
+    int tolerated_losses = 1;
+};
+constexpr deployment_size small_size;
+constexpr deployment_size large_size{
+    .controls = 9, .entries = 16, .workers = 100, .tolerated_losses = 2};
+
 struct arguments {
     std::string programs = "build/bin";
     std::string folder = "build/process-soak";
     std::uint64_t seed = 1;
     int seconds = 20;
+    bool large = false;
 };
 
 struct submitted_job {
@@ -51,8 +62,9 @@
 class soak {
   public:
     explicit soak(const arguments& options)
-        : options_(options), random_(options.seed),
-          fleet_({options.programs, options.folder, network_prefix(options.seed)}) {}
+        : options_(options), size_(options.large ? large_size : small_size), random_(options.seed),
+          fleet_({options.programs, options.folder, network_prefix(options.seed), size_.controls,
+                  size_.entries, size_.tolerated_losses}) {}
 
     int run();
 
@@ -62,6 +74,13 @@
         return "127." + std::to_string(60 + seed % 150);
     }
     http_pool& pool(const std::string& address);
+    // A caller reaches an entry node, an operator a control node.
+    std::string random_entry() {
+        return fleet_.entry_address(static_cast<int>(random_.below(size_.entries)));
+    }
+    std::string random_control() {
+        return fleet_.control_address(static_cast<int>(random_.below(size_.controls)));
+    }
     void call(const std::string& address, http_call request,
               std::function<void(const http_result&)> on_result);
     void start_worker(int index);
@@ -72,10 +91,33 @@
     void inject_fault();
     void restore_links();
     void stop_process(const std::string& name, int signal, bool wipe, time_ms pause);
+    void pause_process(const std::string& name, time_ms pause);
+    void send_signals(const std::string& name);
+    void lose_power();
+    int control_nodes_down() const;
     void run_due_actions();
     void run_after(time_ms after, std::function<void()> action) {
         scheduled_actions_.emplace(clock_.now() + after, std::move(action));
     }
+    // For an action on a process, which a loss of power makes void.
+    void run_if_powered(time_ms after, std::function<void()> action) {
+        run_after(after, [this, count = power_losses_, action = std::move(action)] {
+            if (count == power_losses_)
+                action();
+        });
+    }
+    // Requests that are open within this time may stay without an answer.
+    void mark_disturbed(const std::string& name, time_ms duration = 0) {
+        const auto index = std::stoi(name.substr(name.rfind('-') + 1));
+        disturbed_at_[name.starts_with("core-") ? fleet_.control_address(index)
+                                                : fleet_.entry_address(index)] =
+            clock_.now() + duration;
+    }
+    // Right after an acknowledgement, or up to 100 ms later.
+    void acknowledged() {
+        if (std::exchange(power_loss_awaited_, false))
+            run_after(random_.chance(0.5) ? 0 : random_.between(0, 100), [this] { lose_power(); });
+    }
     void run_for(time_ms duration);
     bool query_open_jobs();
     void report_violation(const std::string& text) {
@@ -90,6 +132,7 @@
     }
 
     arguments options_;
+    deployment_size size_;
     random_source random_;
     boost::asio::io_context loop_{1};
     steady_clock clock_;
@@ -103,7 +146,10 @@
     std::map<std::string, int> active_runs_; // concurrent runs by task
     std::map<std::string, int> completed_runs_;
     std::set<std::string> unavailable_processes_; // killed, stopped or paused processes
+    std::map<std::string, time_ms> disturbed_at_; // by address
     time_ms next_control_fault_at_{0};
+    bool power_loss_awaited_ = false;
+    int power_losses_ = 0;
     std::uint64_t sent_version_ = 0;
     std::uint64_t acknowledged_version_ = 0;
     int next_worker_id_ = 0;
@@ -126,7 +172,15 @@
 
 void soak::call(const std::string& address, http_call request,
                 std::function<void(const http_result&)> on_result) {
-    pool(address).request(std::move(request), call_timeout, std::move(on_result));
+    const auto description = request.method + " " + request.target;
+    const auto check = [this, address, description, asked_at = clock_.now(),
+                        on_result = std::move(on_result)](const http_result& result) {
+        if (result.failure == call_failure::timeout &&
+            std::max(asked_at, result.sent_at) > disturbed_at_[address])
+            report_violation(address + " left " + description + " without an answer");
+        on_result(result);
+    };
+    pool(address).request(std::move(request), call_timeout, check);
 }
 
 void soak::start_worker(int index) {
@@ -134,7 +188,7 @@
     options.id = "i-" + std::to_string(next_worker_id_++);
     options.pool = "s1";
     options.ip = network_prefix(options_.seed) + ".1." + std::to_string(index + 1);
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < size_.controls; ++i)
         options.controls.push_back(fleet_.control_address(i));
     options.run_started = [this](const std::string& task) {
         if (++active_runs_[task] > 1)
@@ -180,7 +234,7 @@
     const auto body = R"({"Spec":")" + work + R"(","Steps":[{"Count":)" + std::to_string(tasks) +
                       R"(,"Cpu":300,"MemMb":16,"EstimateMs":300},{"Count":1,"Cpu":300,)"
                       R"("MemMb":16,"EstimateMs":300,"DependsOn":[0]}]})";
-    const auto entry = fleet_.entry_address(static_cast<int>(random_.below(2)));
+    const auto entry = random_entry();
     call(entry, {"POST", "/q/" + id, {{"Host", "h"}}, body}, [this, id](const http_result& result) {
         auto& answered_job = jobs_[id];
         --answered_job.open_calls;
@@ -190,8 +244,10 @@
         const bool refused =
             !result.failure && (result.status == not_found || result.status == too_many ||
                                 result.status == unavailable);
-        if (!result.failure && result.status == status_ok)
+        if (!result.failure && result.status == status_ok) {
             answered_job.accepted = true;
+            acknowledged();
+        }
         if (!refused)
             answered_job.only_refusals = false;
     });
@@ -201,18 +257,20 @@
 void soak::send_configurations() {
     const auto version = ++sent_version_;
     for (const auto sent : {version, version > 1 ? version - 1 : version}) {
-        const auto control = fleet_.control_address(static_cast<int>(random_.below(5)));
+        const auto control = random_control();
         call(control, {"PUT", "/clementineroad/config", {}, configuration(sent)},
              [this, sent](const http_result& result) {
-                 if (!result.failure && result.status == status_ok)
-                     acknowledged_version_ = std::max(acknowledged_version_, sent);
+                 if (result.failure || result.status != status_ok)
+                     return;
+                 acknowledged_version_ = std::max(acknowledged_version_, sent);
+                 acknowledged();
              });
     }
 }
 
 void soak::read_configuration() {
     const auto acknowledged = acknowledged_version_;
-    const auto control = fleet_.control_address(static_cast<int>(random_.below(5)));
+    const auto control = random_control();
     call(control, {"GET", "/clementineroad/config", {}, {}},
          [this, acknowledged, control](const http_result& result) {
              if (result.failure || result.status != status_ok)
@@ -226,6 +284,8 @@
              if (version < acknowledged)
                  report_violation(control + " reads version " + std::to_string(version) +
                                   " after " + std::to_string(acknowledged) + " was acknowledged");
+             // What was shown once is not taken back either.
+             acknowledged_version_ = std::max(acknowledged_version_, version);
          });
 }
 
@@ -233,29 +293,101 @@
     if (!fleet_.signal(name, signal))
         return;
     unavailable_processes_.insert(name);
+    if (signal == SIGKILL)
+        mark_disturbed(name);
     const auto restart = [this, name, wipe, pause, signal] {
         const int code = fleet_.reap(name);
         if (signal == SIGTERM && code != 0)
             report_violation(name + " exited with code " + std::to_string(code) + " after SIGTERM");
         if (wipe)
             fleet_.wipe_data(name);
-        run_after(pause, [this, name] {
+        run_if_powered(pause, [this, name] {
             fleet_.start(name, false);
             unavailable_processes_.erase(name);
         });
     };
     // After SIGTERM a process has 6 s to exit.
-    run_after(signal == SIGTERM ? 6'000 : 10, restart);
+    run_if_powered(signal == SIGTERM ? 6'000 : 10, restart);
+}
+
+void soak::pause_process(const std::string& name, time_ms pause) {
+    if (!fleet_.signal(name, SIGSTOP))
+        return;
+    unavailable_processes_.insert(name);
+    mark_disturbed(name, pause);
+    run_if_powered(pause, [this, name] {
+        fleet_.signal(name, SIGCONT);
+        mark_disturbed(name);
+        unavailable_processes_.erase(name);
+    });
+}
+
+// Signals in quick succession while the configuration changes, until the process is stopped.
+void soak::send_signals(const std::string& name) {
+    unavailable_processes_.insert(name);
+    time_ms after = 0;
+    for (auto count = 1 + random_.below(5); count > 0; --count) {
+        const bool hang_up = random_.chance(0.5);
+        run_if_powered(after, [this, name, hang_up] {
+            fleet_.signal(name, hang_up ? SIGHUP : SIGSTOP);
+            send_configurations();
+        });
+        after += random_.between(0, 300);
+        run_if_powered(after, [this, name] {
+            fleet_.signal(name, SIGCONT);
+            mark_disturbed(name);
+        });
+    }
+    const int last = random_.chance(0.5) ? SIGTERM : SIGKILL;
+    run_if_powered(
+        after, [this, name, last] { stop_process(name, last, false, random_.between(0, 1'000)); });
+}
+
+// Kills all processes at one moment and wipes as many control nodes as are tolerated. Half of the
+// time these are the seeds, which have been voters longest.
+void soak::lose_power() {
+    ++power_losses_;
+    unavailable_processes_.clear();
+    std::set<int> wiped;
+    if (clock_.now() >= next_control_fault_at_) {
+        const auto wipes = random_.below(size_.tolerated_losses + 1);
+        const int candidates = random_.chance(0.5) ? 3 : size_.controls;
+        while (wiped.size() < wipes)
+            wiped.insert(static_cast<int>(random_.below(candidates)));
+        if (wipes > 0)
+            next_control_fault_at_ = clock_.now() + 2'000 + catch_up_time;
+    }
+    for (const auto& name : fleet_.names()) {
+        fleet_.signal(name, SIGKILL);
+        mark_disturbed(name);
+        unavailable_processes_.insert(name);
+    }
+    for (const auto& name : fleet_.names())
+        fleet_.reap(name);
+    for (const int index : wiped)
+        fleet_.wipe_data("core-" + std::to_string(index));
+    for (const auto& name : fleet_.names()) {
+        run_if_powered(random_.between(0, 2'000), [this, name] {
+            fleet_.start(name, false);
+            unavailable_processes_.erase(name);
+        });
+    }
+}
+
+int soak::control_nodes_down() const {
+    return static_cast<int>(std::ranges::count_if(
+        unavailable_processes_, [](const auto& name) { return name.starts_with("core-"); }));
 }
 
 void soak::inject_fault() {
     ++fault_count_;
-    const bool control_fault_allowed = unavailable_processes_.size() < max_control_nodes_down &&
+    const auto control_node = "core-" + std::to_string(random_.below(size_.controls));
+    const bool control_fault_allowed = control_nodes_down() < size_.tolerated_losses &&
+                                       !unavailable_processes_.contains(control_node) &&
                                        clock_.now() >= next_control_fault_at_;
-    const auto control_node = "core-" + std::to_string(random_.below(5));
-    const auto entry_node = "edge-" + std::to_string(random_.below(2));
-    const int worker_index = static_cast<int>(random_.below(worker_count));
-    switch (random_.below(10)) {
+    const auto entry_node = "edge-" + std::to_string(random_.below(size_.entries));
+    const int worker_index = static_cast<int>(random_.below(size_.workers));
+    switch (random_.below(14)) {
     case 0:
     case 1:
         if (control_fault_allowed)
@@ -272,13 +404,8 @@
             stop_process(control_node, SIGTERM, false, random_.between(0, 1'000));
         break;
     case 4:
-        if (control_fault_allowed && fleet_.signal(control_node, SIGSTOP)) {
-            unavailable_processes_.insert(control_node);
-            run_after(random_.between(200, 5'000), [this, control_node] {
-                fleet_.signal(control_node, SIGCONT);
-                unavailable_processes_.erase(control_node);
-            });
-        }
+        if (control_fault_allowed)
+            pause_process(control_node, random_.between(200, 5'000));
         break;
     case 5:
         if (!unavailable_processes_.contains(entry_node))
@@ -290,6 +417,21 @@
     case 7:
         relays_[worker_index]->reset();
         break;
+    case 8:
+        if (!unavailable_processes_.contains(entry_node))
+            send_signals(entry_node);
+        break;
+    case 9:
+        if (control_fault_allowed)
+            send_signals(control_node);
+        break;
+    case 10:
+        power_loss_awaited_ = true;
+        break;
+    case 11:
+        if (random_.chance(0.5))
+            lose_power();
+        break;
     default: {
         const auto mode = static_cast<relay_mode>(1 + random_.below(3));
         const auto worker_relay = relays_[worker_index];
@@ -334,7 +476,7 @@
         if (!job.accepted || job.state == "completed")
             continue;
         every_job_completed = false;
-        const auto entry = fleet_.entry_address(static_cast<int>(random_.below(2)));
+        const auto entry = random_entry();
         call(entry, {"GET", "/q/" + id, {{"Host", "h"}}, {}},
              [this, id = id](const http_result& result) {
                  if (result.failure)
@@ -353,7 +495,7 @@
 
 int soak::run() {
     fleet_.start_all();
-    for (int i = 0; i < worker_count; ++i)
+    for (int i = 0; i < size_.workers; ++i)
         start_worker(i);
     while (acknowledged_version_ == 0) {
         send_configurations();
@@ -435,6 +577,9 @@
             options.seed = std::stoull(argv[i + 1]);
         else if (name == "--seconds")
             options.seconds = std::stoi(argv[i + 1]);
+        else if (name == "--size" &&
+                 (argv[i + 1] == std::string("small") || argv[i + 1] == std::string("large")))
+            options.large = argv[i + 1] == std::string("large");
         else {
             std::cerr << "process_soak: unknown option " << name << '\n';
             return 2;
--- a/tests/process_soak/process_fleet.cpp
+++ b/tests/process_soak/process_fleet.cpp
@@ -78,7 +78,7 @@
                           {"InternalPortRange", {first_internal_port, first_internal_port + 10}},
                           {"Seeds", seeds},
                           {"Bootstrap", first_start},
-                          {"FaultTolerance", {{"Machines", 1}}},
+                          {"FaultTolerance", {{"Machines", layout_.tolerated_losses}}},
                           {"Bounds", {{"GraceS", 6}, {"StopMs", 400}, {"LeaseMs", 3000}}}};
     if (is_control(name)) {
         settings["ListenAddrs"] = {{"Control", with_port(ip, control_port)}};
--- a/tests/process_soak/process_fleet.h
+++ b/tests/process_soak/process_fleet.h
@@ -22,6 +22,7 @@
     std::string network;  // first two octets of the addresses, such as "127.50"
     int controls = 5;
     int entries = 2;
+    int tolerated_losses = 1;
 };
 
 class process_fleet {
