Count the attempts of a forwarded request

Cause: leader_router counted nothing. Change: it counts attempts sent, retried, declined and timed out; an entry node exports them as clementine_caller_attempts and writes `attempts` into request_answered.

--- a/src/control/job_entry.cpp
+++ b/src/control/job_entry.cpp
@@ -149,6 +149,7 @@
             .field("status", static_cast<unsigned>(status))
             .field("outcome", to_name(result.outcome))
             .field("took_ms", clock_.now() - arrived_at)
+            .field("attempts", std::uint64_t{result.attempts})
             .field("leader", router_->leader());
     auto response = make_response(status, result.reply.body, "application/json");
     if (retry_after > 0)
@@ -179,6 +180,13 @@
     if (request.target() != "/metrics")
         return respond(make_response(http::status::not_found, "", "text/plain"));
     metrics_.set("clementine_caller_requests_under_way", {}, static_cast<double>(open_requests_));
+    const auto attempts = router_->take_counters();
+    const std::pair<std::string, std::uint64_t> counts[] = {{"sent", attempts.sent},
+                                                            {"retried", attempts.retried},
+                                                            {"declined", attempts.declined},
+                                                            {"timed-out", attempts.timed_out}};
+    for (const auto& [outcome, count] : counts)
+        metrics_.add("clementine_caller_attempts", {{"outcome", outcome}}, count);
     respond(make_response(http::status::ok, metrics_.render(), "text/plain; version=0.0.4"));
 }
 
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -61,6 +61,10 @@
     }
     if (leader_.empty() || !links_.send(leader_, item.request))
         return;
+    ++counters_.sent;
+    if (item.attempts > 0)
+        ++counters_.retried;
+    ++item.attempts;
     item.sent_to = leader_;
     item.sent_at = clock_.now();
 }
@@ -73,9 +77,10 @@
     if (outcome == route_outcome::answered && reply.status >= first_refusal &&
         it->second.may_have_run)
         outcome = route_outcome::unknown;
+    const auto attempts = it->second.attempts;
     const auto done = std::move(it->second.done);
     pending_.erase(it);
-    done({outcome, reply});
+    done({outcome, reply, attempts});
 }
 
 void leader_router::observe(const std::string& node, const wire::directory& value) {
@@ -106,8 +111,10 @@
     if (value.handled)
         return finish(value.id, route_outcome::answered, value);
     // The node does not lead and has not executed the request.
-    if (it->second.sent_to == node)
-        it->second.sent_to.clear();
+    if (it->second.sent_to != node)
+        return;
+    ++counters_.declined;
+    it->second.sent_to.clear();
 }
 
 void leader_router::observe_opened(const std::string& node) {
@@ -161,6 +168,7 @@
         else if (unsent && !item.may_have_run && now >= item.leader_deadline)
             ended.emplace_back(id, route_outcome::not_run);
         else if (!unsent && now - item.sent_at >= attempt_timeout) {
+            ++counters_.timed_out;
             item.may_have_run = true;
             item.sent_to.clear();
         }
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace clementine::control {
 
@@ -31,6 +32,15 @@
 struct routed_reply {
     route_outcome outcome = route_outcome::not_run;
     wire::call_reply reply;
+    unsigned attempts = 0; // sent over a link
+};
+
+// Attempts over links. An attempt that is declined after a timeout counts as both.
+struct attempt_counters {
+    std::uint64_t sent = 0;
+    std::uint64_t retried = 0;   // of those sent: not the first of their request
+    std::uint64_t declined = 0;  // the receiver could not serve
+    std::uint64_t timed_out = 0; // unanswered for the time limit of an attempt
 };
 
 struct route_limits {
@@ -71,6 +81,8 @@
     std::uint64_t leader_term() const { return leader_term_; }
     // True if a leader was known at any time in the last `period` ms.
     bool had_leader(time_ms period) const;
+    // The counts since the last call.
+    attempt_counters take_counters() { return std::exchange(counters_, {}); }
     void stop() { timer_.cancel(); }
 
   private:
@@ -80,7 +92,8 @@
         time_ms deadline{0};
         time_ms leader_deadline{0};
         time_ms sent_at{0};
-        std::string sent_to;       // empty while not sent
+        std::string sent_to; // empty while not sent
+        unsigned attempts = 0;
         bool may_have_run = false; // an earlier attempt got no answer and may have been executed
         done_handler done;
     };
@@ -100,6 +113,7 @@
     time_ms leader_confirmed_at_{0}; // last announcement by the leader itself
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, pending_request> pending_;
+    attempt_counters counters_;
 };
 
 } // namespace clementine::control
