Pause longer after each refusal of a call by the leader

Cause: leader_router sent every declined request again at its next check, 25 ms later, without pause or jitter. The retries took the time that the leader needed to renew its lease. Change: a declined request is sent again after 25, 50, 100, then 200 ms, each with 50% jitter; at once if the leader, its term or its link changes; and at once, one time in each term, if the leader announces that it serves. What this node declines itself is paused the same way. A request that can no longer be answered within its deadline is not sent and ends then. The rule is in retry_policy, without input and output. Why it works: the load of the retries falls with the length of the outage, and the announcement of a leader that serves again ends the pauses, so that they cost callers little.

--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -1,6 +1,7 @@
 #include "control/leader_router.h"
 
 #include "base/log.h"
+#include "control/retry_policy.h"
 
 #include <algorithm>
 #include <chrono>
@@ -20,8 +21,10 @@
 } // namespace
 
 leader_router::leader_router(boost::asio::io_context& loop, const clock_source& clock,
-                             cluster_links& links, local_handler execute_locally)
-    : timer_(loop), clock_(clock), links_(links), execute_locally_(std::move(execute_locally)) {
+                             cluster_links& links, local_handler execute_locally,
+                             std::uint64_t seed)
+    : timer_(loop), clock_(clock), links_(links), execute_locally_(std::move(execute_locally)),
+      random_(seed) {
     schedule_timer();
 }
 
@@ -42,6 +45,8 @@
 
 // May finish and erase `item`.
 void leader_router::attempt(pending_request& item) {
+    if (!leaves_time_for_an_answer(clock_.now(), item.deadline))
+        return;
     const auto id = item.request.id;
     const auto answer = [this, id](const wire::call_reply& reply) {
         if (reply.handled)
@@ -55,18 +60,28 @@
             if (it != pending_.end()) {
                 it->second.sent_to = "local";
                 it->second.sent_at = clock_.now();
+                it->second.sent_term = leader_term_;
             }
             return;
         }
     }
-    if (leader_.empty() || !links_.send(leader_, item.request))
+    if (leader_.empty() || !links_.send(leader_, item.request)) {
+        // Nothing was sent, but this node has declined.
+        if (execute_locally_)
+            pause(item);
         return;
+    }
     ++counters_.sent;
     if (item.attempts > 0)
         ++counters_.retried;
     ++item.attempts;
     item.sent_to = leader_;
     item.sent_at = clock_.now();
+    item.sent_term = leader_term_;
+}
+
+void leader_router::pause(pending_request& item) {
+    item.retry_at = clock_.now() + retry_pause(++item.declined, random_.unit());
 }
 
 void leader_router::finish(std::uint64_t id, route_outcome outcome, const wire::call_reply& reply) {
@@ -91,10 +106,14 @@
         leader_seen_at_ = clock_.now();
     if (value.leader == node)
         leader_confirmed_at_ = clock_.now();
-    const bool changed = value.leader != leader_;
+    const bool changed = value.leader != leader_ || value.term != leader_term_;
     leader_term_ = value.term;
-    if (!changed)
+    if (!changed) {
+        // Only a leader that may serve lists the members.
+        if (value.leader == node && !value.members.empty())
+            resume_paused();
         return;
+    }
     log_event(log_level::info, "leader_changed")
         .field("leader", value.leader)
         .field("term", value.term)
@@ -111,10 +130,13 @@
     if (value.handled)
         return finish(value.id, route_outcome::answered, value);
     // The node does not lead and has not executed the request.
-    if (it->second.sent_to != node)
+    auto& item = it->second;
+    if (item.sent_to != node)
         return;
     ++counters_.declined;
-    it->second.sent_to.clear();
+    item.sent_to.clear();
+    if (node == leader_ && item.sent_term == leader_term_)
+        pause(item);
 }
 
 void leader_router::observe_opened(const std::string& node) {
@@ -132,12 +154,35 @@
 }
 
 void leader_router::retry_unsent() {
-    std::vector<std::uint64_t> unsent_ids;
+    for (auto& [id, item] : pending_) {
+        item.declined = 0;
+        item.retry_at = 0;
+    }
+    retry_due();
+}
+
+// Once in a term for each request, so that a leader that loses its lease again and again is not
+// sent all of them with each announcement.
+void leader_router::resume_paused() {
+    const auto now = clock_.now();
+    for (auto& [id, item] : pending_) {
+        const bool paused = item.sent_to.empty() && item.retry_at > now;
+        if (!paused || item.resumed_term == leader_term_)
+            continue;
+        item.resumed_term = leader_term_;
+        item.retry_at = 0;
+    }
+    retry_due();
+}
+
+void leader_router::retry_due() {
+    const auto now = clock_.now();
+    std::vector<std::uint64_t> due_ids;
     for (const auto& [id, item] : pending_) {
-        if (item.sent_to.empty())
-            unsent_ids.push_back(id);
+        if (item.sent_to.empty() && now >= item.retry_at)
+            due_ids.push_back(id);
     }
-    for (const auto id : unsent_ids) {
+    for (const auto id : due_ids) {
         const auto it = pending_.find(id);
         if (it != pending_.end())
             attempt(it->second);
@@ -162,7 +207,7 @@
     std::vector<std::pair<std::uint64_t, route_outcome>> ended;
     for (auto& [id, item] : pending_) {
         const bool unsent = item.sent_to.empty();
-        if (now >= item.deadline)
+        if (now >= item.deadline || (unsent && !leaves_time_for_an_answer(now, item.deadline)))
             ended.emplace_back(id, unsent && !item.may_have_run ? route_outcome::not_run
                                                                 : route_outcome::unknown);
         else if (unsent && !item.may_have_run && now >= item.leader_deadline)
@@ -175,7 +220,7 @@
     }
     for (const auto& [id, outcome] : ended)
         finish(id, outcome, {});
-    retry_unsent();
+    retry_due();
 }
 
 void leader_router::schedule_timer() {
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "control/cluster_links.h"
 
 #include <boost/asio/io_context.hpp>
@@ -56,8 +57,9 @@
     // Executes a call on this node if it leads; returns false otherwise.
     using local_handler = std::function<bool(const wire::call&, const reply_handler&)>;
 
+    // `seed` spreads the pauses between attempts.
     leader_router(boost::asio::io_context& loop, const clock_source& clock, cluster_links& links,
-                  local_handler execute_locally);
+                  local_handler execute_locally, std::uint64_t seed = wire::new_boot_id());
     leader_router(const leader_router&) = delete;
     leader_router& operator=(const leader_router&) = delete;
     ~leader_router() = default;
@@ -70,7 +72,8 @@
     void observe(const std::string& node, const wire::call_reply& value);
     void observe_opened(const std::string& node);
     void observe_closed(const std::string& node);
-    // Retries the requests that are not sent, for example after this node became the leader.
+    // Retries the requests that are not sent without a pause, for example after this node became
+    // the leader.
     void retry_unsent();
 
     // The last known leader; empty if unknown.
@@ -92,13 +95,20 @@
         time_ms deadline{0};
         time_ms leader_deadline{0};
         time_ms sent_at{0};
+        std::uint64_t sent_term = 0;
         std::string sent_to; // empty while not sent
         unsigned attempts = 0;
+        unsigned declined = 0;          // since the last change of the leader
+        time_ms retry_at{0};            // not sent again before
+        std::uint64_t resumed_term = 0; // term in which its pause was cut short
         bool may_have_run = false; // an earlier attempt got no answer and may have been executed
         done_handler done;
     };
 
     void attempt(pending_request& item);
+    void pause(pending_request& item);
+    void resume_paused();
+    void retry_due();
     void finish(std::uint64_t id, route_outcome outcome, const wire::call_reply& reply);
     void process_timeouts();
     void schedule_timer();
@@ -114,6 +124,7 @@
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, pending_request> pending_;
     attempt_counters counters_;
+    random_source random_;
 };
 
 } // namespace clementine::control
--- /dev/null
+++ b/tests/control/leader_router_test.cpp
@@ -0,0 +1,180 @@
+// Guards a leader that cannot serve against the retries of the nodes that forward requests to it.
+// The links are real; the leader is a stand-in.
+#include "control/leader_router.h"
+#include "wire/channel_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::control;
+namespace asio = boost::asio;
+
+constexpr std::uint32_t status_ok = 200;
+
+wire::hello hello_of(const std::string& node) {
+    wire::hello out;
+    out.cluster = "router-test";
+    out.node = node;
+    return out;
+}
+
+// Accepts links, counts the calls and answers them as told.
+class standin_leader {
+  public:
+    enum class reaction { answer, decline };
+
+    explicit standin_leader(asio::io_context& loop) {
+        wire::channel_server::handlers callbacks;
+        callbacks.opened = [this](const auto& peer) {
+            peers_.insert(peer);
+            announce();
+        };
+        callbacks.received = [this](const auto& peer, wire::message&& value) {
+            if (const auto* request = std::get_if<wire::call>(&value)) {
+                ++calls;
+                react(peer, request->id);
+            }
+        };
+        callbacks.closed = [this](const auto& peer, const auto&) { peers_.erase(peer); };
+        server_ = std::make_shared<wire::channel_server>(loop, hello_of("leader"),
+                                                         wire::link_settings{}, callbacks);
+        CPPUNIT_ASSERT_EQUAL(std::string(), server_->listen({asio::ip::address_v4::loopback(), 0}));
+    }
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(server_->port()); }
+    // A leader that may serve announces the members.
+    void announce() {
+        wire::directory value;
+        value.leader = address();
+        value.term = term;
+        if (serving)
+            value.members.emplace_back();
+        for (const auto& peer : peers_)
+            peer->send(value);
+    }
+    void stop() { server_->stop(); }
+
+    reaction mode = reaction::answer;
+    bool serving = false;
+    std::uint64_t term = 1;
+    std::size_t calls = 0;
+
+  private:
+    void react(const std::shared_ptr<wire::connection>& peer, std::uint64_t id) {
+        wire::call_reply reply;
+        reply.id = id;
+        reply.handled = mode == reaction::answer;
+        reply.status = reply.handled ? status_ok : 0;
+        peer->send(reply);
+    }
+
+    std::shared_ptr<wire::channel_server> server_;
+    std::set<std::shared_ptr<wire::connection>> peers_;
+};
+
+class leader_router_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(leader_router_test);
+    CPPUNIT_TEST(declined_calls_are_sent_again_without_pause);
+    CPPUNIT_TEST(call_waits_although_the_leader_serves_again);
+    CPPUNIT_TEST_SUITE_END();
+
+    using reaction = standin_leader::reaction;
+    static constexpr route_limits limits{.timeout = 2'500, .leader_wait = 1'400};
+    static constexpr std::size_t number_of_calls = 20;
+
+    asio::io_context loop_{1};
+    steady_clock clock_;
+    std::unique_ptr<standin_leader> leader_;
+    std::unique_ptr<cluster_links> links_;
+    std::unique_ptr<leader_router> router_;
+    std::vector<routed_reply> replies_;
+
+    template <class Condition>
+    bool wait_for(Condition condition, time_ms timeout = 10'000) {
+        const auto end = clock_.now() + timeout;
+        while (!condition() && clock_.now() < end)
+            loop_.run_for(std::chrono::milliseconds(5));
+        return condition();
+    }
+    void run_for(time_ms duration) {
+        wait_for([] { return false; }, duration);
+    }
+    void route(std::size_t count) {
+        for (std::size_t i = 0; i < count; ++i)
+            router_->route({}, limits,
+                           [this](const routed_reply& reply) { replies_.push_back(reply); });
+    }
+    std::size_t replies_with(route_outcome outcome) const {
+        return static_cast<std::size_t>(
+            std::ranges::count(replies_, outcome, &routed_reply::outcome));
+    }
+    bool wait_for_replies(std::size_t count) {
+        return wait_for([&] { return replies_.size() == count; });
+    }
+
+  public:
+    void setUp() override {
+        leader_ = std::make_unique<standin_leader>(loop_);
+        cluster_links::callbacks callbacks;
+        callbacks.received_outgoing = [this](const std::string& node, wire::message&& value) {
+            if (const auto* reply = std::get_if<wire::call_reply>(&value))
+                router_->observe(node, *reply);
+            else if (const auto* directory = std::get_if<wire::directory>(&value))
+                router_->observe(node, *directory);
+        };
+        callbacks.opened = [this](const std::string& node) { router_->observe_opened(node); };
+        callbacks.closed = [this](const std::string& node) { router_->observe_closed(node); };
+        links_ = std::make_unique<cluster_links>(loop_, hello_of("entry"), callbacks);
+        router_ = std::make_unique<leader_router>(loop_, clock_, *links_, nullptr);
+        links_->connect(leader_->address());
+        CPPUNIT_ASSERT(wait_for([&] { return router_->leader() == leader_->address(); }));
+    }
+
+    void tearDown() override {
+        router_->stop();
+        links_->stop();
+        leader_->stop();
+        run_for(100);
+    }
+
+    // A leader without its lease was sent 200 to 4,607 calls a second and had no time left to get
+    // its lease back.
+    void declined_calls_are_sent_again_without_pause() {
+        constexpr std::size_t max_attempts = 15; // on average, in 1.4 s
+        leader_->mode = reaction::decline;
+        route(number_of_calls);
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::not_run));
+        CPPUNIT_ASSERT(leader_->calls >= 3 * number_of_calls);
+        const auto counts = router_->take_counters();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{leader_->calls}, counts.sent);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{leader_->calls}, counts.declined);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{leader_->calls - number_of_calls}, counts.retried);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(leader_->calls) + " attempts",
+                               leader_->calls <= max_attempts * number_of_calls);
+    }
+
+    // Long pauses must not delay calls that the leader could answer.
+    void call_waits_although_the_leader_serves_again() {
+        leader_->mode = reaction::decline;
+        route(number_of_calls);
+        run_for(900);
+        leader_->mode = reaction::answer;
+        leader_->serving = true;
+        leader_->announce();
+        CPPUNIT_ASSERT(wait_for([&] { return replies_.size() == number_of_calls; }, 50));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leader_router_test);
+
+} // namespace
