Send an unanswered call again only if it can be lost

Cause: leader_router sent a call again when it had no answer for 450 ms, although the first copy was still queued at the same leader. Change: an unanswered call is sent again only after its link was lost, or 450 ms after it was sent if the term has changed since. `timed_out` counts each late attempt once. As before, such an attempt may have run, so that a later refusal ends as unknown. Why it works: a connection keeps the order of its messages, and a leader answers every call of its term unless it loses the leadership, which a new term shows. A link that is silent for 1.3 s is closed by either end, and what was open on it is sent again. Limit: an answer that the leader cannot queue on a link whose send queue is full is lost; such a call now ends as unknown at its deadline. Tests, with real links and a stand-in leader: late_leader_is_sent_each_call_again failed before (60 calls for 20 requests in 1.2 s) and passes now (20); call_lost_with_its_link_is_never_answered and call_lost_with_its_term_is_never_answered guard the two cases in which a call is sent again, and passed before.

--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr time_ms check_interval{25};
-// An unanswered attempt is retried after this time; a commit takes about 15 ms.
+// An unanswered attempt is overdue after this time; a commit takes about 15 ms.
 constexpr time_ms attempt_timeout{450};
 // The leader counts as unknown if it was not confirmed for this long.
 constexpr time_ms leader_expiry{1'500};
@@ -61,6 +61,7 @@
                 it->second.sent_to = "local";
                 it->second.sent_at = clock_.now();
                 it->second.sent_term = leader_term_;
+                it->second.overdue = false;
             }
             return;
         }
@@ -78,6 +79,7 @@
     item.sent_to = leader_;
     item.sent_at = clock_.now();
     item.sent_term = leader_term_;
+    item.overdue = false;
 }
 
 void leader_router::pause(pending_request& item) {
@@ -213,9 +215,13 @@
         else if (unsent && !item.may_have_run && now >= item.leader_deadline)
             ended.emplace_back(id, route_outcome::not_run);
         else if (!unsent && now - item.sent_at >= attempt_timeout) {
-            ++counters_.timed_out;
-            item.may_have_run = true;
-            item.sent_to.clear();
+            if (!std::exchange(item.overdue, true))
+                ++counters_.timed_out;
+            if (item.sent_term < leader_term_) {
+                // The leader of that term drops what it had not committed.
+                item.may_have_run = true;
+                item.sent_to.clear();
+            }
         }
     }
     for (const auto& [id, outcome] : ended)
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -1,7 +1,9 @@
 // Forwards requests to the leading control node and retries across leader changes.
 //
-// The forwarded requests are idempotent, so an unanswered attempt is retried. A refusal after an
-// unanswered attempt is not returned to the client, because that attempt may have been executed.
+// The forwarded requests are idempotent, so an unanswered attempt is retried, but only after its
+// link was lost or the term has changed: until then it is still queued at the leader, or the
+// answer is on its way. A silent link is closed. A refusal after an unanswered attempt is not
+// returned to the client, because that attempt may have been executed.
 #pragma once
 
 #include "base/clock.h"
@@ -101,6 +103,7 @@
         unsigned declined = 0;          // since the last change of the leader
         time_ms retry_at{0};            // not sent again before
         std::uint64_t resumed_term = 0; // term in which its pause was cut short
+        bool overdue = false;
         bool may_have_run = false; // an earlier attempt got no answer and may have been executed
         done_handler done;
     };
--- a/tests/control/leader_router_test.cpp
+++ b/tests/control/leader_router_test.cpp
@@ -1,5 +1,5 @@
-// Guards a leader that cannot serve against the retries of the nodes that forward requests to it.
-// The links are real; the leader is a stand-in.
+// Guards a leader that cannot serve or answers late against the retries of the nodes that forward
+// requests to it. The links are real; the leader is a stand-in.
 #include "control/leader_router.h"
 #include "wire/channel_server.h"
 
@@ -29,7 +29,7 @@
 // Accepts links, counts the calls and answers them as told.
 class standin_leader {
   public:
-    enum class reaction { answer, decline };
+    enum class reaction { answer, decline, ignore };
 
     explicit standin_leader(asio::io_context& loop) {
         wire::channel_server::handlers callbacks;
@@ -60,6 +60,14 @@
         for (const auto& peer : peers_)
             peer->send(value);
     }
+    void close_links() {
+        for (const auto& peer : std::set(peers_))
+            peer->stop();
+    }
+    void answer_ignored() {
+        for (const auto& [peer, id] : std::exchange(ignored_, {}))
+            react(peer, id);
+    }
     void stop() { server_->stop(); }
 
     reaction mode = reaction::answer;
@@ -69,6 +77,8 @@
 
   private:
     void react(const std::shared_ptr<wire::connection>& peer, std::uint64_t id) {
+        if (mode == reaction::ignore)
+            return ignored_.emplace_back(peer, id), void();
         wire::call_reply reply;
         reply.id = id;
         reply.handled = mode == reaction::answer;
@@ -78,12 +88,16 @@
 
     std::shared_ptr<wire::channel_server> server_;
     std::set<std::shared_ptr<wire::connection>> peers_;
+    std::vector<std::pair<std::shared_ptr<wire::connection>, std::uint64_t>> ignored_;
 };
 
 class leader_router_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(leader_router_test);
     CPPUNIT_TEST(declined_calls_are_sent_again_without_pause);
     CPPUNIT_TEST(call_waits_although_the_leader_serves_again);
+    CPPUNIT_TEST(late_leader_is_sent_each_call_again);
+    CPPUNIT_TEST(call_lost_with_its_link_is_never_answered);
+    CPPUNIT_TEST(call_lost_with_its_term_is_never_answered);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = standin_leader::reaction;
@@ -173,6 +187,42 @@
         CPPUNIT_ASSERT(wait_for([&] { return replies_.size() == number_of_calls; }, 50));
         CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
     }
+
+    // A leader that answered late was sent each call up to five times.
+    void late_leader_is_sent_each_call_again() {
+        leader_->mode = reaction::ignore;
+        route(number_of_calls);
+        run_for(1'200);
+        leader_->mode = reaction::answer;
+        leader_->answer_ignored();
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, leader_->calls);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{number_of_calls}, router_->take_counters().timed_out);
+    }
+
+    // Without a resend after the loss of the link, every call of a killed leader ends as unknown.
+    void call_lost_with_its_link_is_never_answered() {
+        leader_->mode = reaction::ignore;
+        route(number_of_calls);
+        run_for(600);
+        leader_->mode = reaction::answer;
+        leader_->close_links();
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
+    }
+
+    // A leader drops what it has not committed when it loses the leadership.
+    void call_lost_with_its_term_is_never_answered() {
+        leader_->mode = reaction::ignore;
+        route(number_of_calls);
+        run_for(100);
+        leader_->mode = reaction::answer;
+        leader_->term = 2;
+        leader_->announce();
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leader_router_test);
