Hold calls back from a leader that does not answer

The calls had timed out when the leader came to them, and their callers got 504 for work that could have been refused. Cause: a node sent each new call at once, however many were unanswered. Held calls are sent once fewer are overdue, the link is lost or the leader changes, and end as not run at the limit of the wait for a leader. The rule is retry_policy::admit, without input and output. Why it works: the queue that one node adds to a late leader is bounded. Callers are better served by a wait than by a refusal while the wait is short, because a refused caller asks again after a second or more; and what was never sent certainly has not run. Tests: calls_queue_up_at_a_leader_that_does_not_answer failed before (0 of 10 calls refused, all sent) and passes now; late_leader_gets_every_call tests the rule. Measured: nothing beyond the tests.

--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -29,6 +29,8 @@
 }
 
 void leader_router::route(wire::call request, route_limits limits, done_handler done) {
+    if (admit(overdue_calls_, held_requests_) == admission::refuse)
+        return done({});
     const auto now = clock_.now();
     request.id = ++last_id_;
     auto& item = pending_[last_id_];
@@ -66,6 +68,10 @@
             return;
         }
     }
+    if (admit(overdue_calls_, 0) != admission::send) {
+        ++held_requests_;
+        return;
+    }
     if (leader_.empty() || !links_.send(leader_, item.request)) {
         // Nothing was sent, but this node has declined.
         if (execute_locally_)
@@ -121,6 +127,7 @@
         .field("term", value.term)
         .field("source", node);
     leader_ = value.leader;
+    overdue_calls_ = 0;
     links_.connect(leader_);
     retry_unsent();
 }
@@ -147,6 +154,8 @@
 }
 
 void leader_router::observe_closed(const std::string& node) {
+    if (node == leader_)
+        overdue_calls_ = 0;
     for (auto& [id, item] : pending_) {
         if (item.sent_to == node) {
             item.may_have_run = true;
@@ -179,6 +188,7 @@
 
 void leader_router::retry_due() {
     const auto now = clock_.now();
+    held_requests_ = 0;
     std::vector<std::uint64_t> due_ids;
     for (const auto& [id, item] : pending_) {
         if (item.sent_to.empty() && now >= item.retry_at)
@@ -206,6 +216,7 @@
         log_event(log_level::warning, "leader_unknown").field("last", leader_);
         leader_.clear();
     }
+    overdue_calls_ = 0;
     std::vector<std::pair<std::uint64_t, route_outcome>> ended;
     for (auto& [id, item] : pending_) {
         const bool unsent = item.sent_to.empty();
@@ -221,7 +232,8 @@
                 // The leader of that term drops what it had not committed.
                 item.may_have_run = true;
                 item.sent_to.clear();
-            }
+            } else if (item.sent_to == leader_)
+                ++overdue_calls_;
         }
     }
     for (const auto& [id, outcome] : ended)
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -128,6 +128,9 @@
     std::map<std::uint64_t, pending_request> pending_;
     attempt_counters counters_;
     random_source random_;
+    // As of the last check.
+    std::size_t overdue_calls_ = 0;
+    std::size_t held_requests_ = 0;
 };
 
 } // namespace clementine::control
--- a/tests/control/leader_router_test.cpp
+++ b/tests/control/leader_router_test.cpp
@@ -98,6 +98,7 @@
     CPPUNIT_TEST(late_leader_is_sent_each_call_again);
     CPPUNIT_TEST(call_lost_with_its_link_is_never_answered);
     CPPUNIT_TEST(call_lost_with_its_term_is_never_answered);
+    CPPUNIT_TEST(calls_queue_up_at_a_leader_that_does_not_answer);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = standin_leader::reaction;
@@ -223,6 +224,25 @@
         CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
         CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
     }
+
+    // A leader that stood still found a queue of calls that had long timed out, and callers whose
+    // calls could have been refused got 504.
+    void calls_queue_up_at_a_leader_that_does_not_answer() {
+        constexpr std::size_t overdue = 64;
+        constexpr std::size_t held = 256;
+        constexpr std::size_t refused = 10;
+        leader_->mode = reaction::ignore;
+        route(overdue);
+        run_for(550);
+        route(held + refused);
+        CPPUNIT_ASSERT_EQUAL(refused, replies_with(route_outcome::not_run));
+        run_for(200);
+        CPPUNIT_ASSERT_EQUAL(overdue, leader_->calls);
+        leader_->mode = reaction::answer;
+        leader_->answer_ignored();
+        CPPUNIT_ASSERT(wait_for_replies(overdue + held + refused));
+        CPPUNIT_ASSERT_EQUAL(overdue + held, replies_with(route_outcome::answered));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leader_router_test);
--- a/tests/control/retry_policy_test.cpp
+++ b/tests/control/retry_policy_test.cpp
@@ -1,4 +1,5 @@
-// Guards a leader that cannot serve against retries without pause.
+// Guards a leader that cannot serve or answers late against retries without pause and a queue
+// without a limit.
 #include "control/retry_policy.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -15,6 +16,7 @@
     CPPUNIT_TEST(pauses_do_not_grow);
     CPPUNIT_TEST(nodes_retry_in_step);
     CPPUNIT_TEST(request_is_sent_too_late_for_an_answer);
+    CPPUNIT_TEST(late_leader_gets_every_call);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr double no_deviation = 0.5;
@@ -40,6 +42,13 @@
         CPPUNIT_ASSERT(!leaves_time_for_an_answer(1'001, 1'000 + min_answer_time));
         CPPUNIT_ASSERT(!leaves_time_for_an_answer(2'000, 1'000));
     }
+
+    void late_leader_gets_every_call() {
+        CPPUNIT_ASSERT(admit(late_leader_calls - 1, max_held_calls) == admission::send);
+        CPPUNIT_ASSERT(admit(late_leader_calls, 0) == admission::hold);
+        CPPUNIT_ASSERT(admit(late_leader_calls, max_held_calls - 1) == admission::hold);
+        CPPUNIT_ASSERT(admit(late_leader_calls, max_held_calls) == admission::refuse);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(retry_policy_test);
