Report the demand of an entry node again and again

The scheduler did not learn the demand of an entry node. Cause: node_client::report_demand ran once, in start, before any link was open. Why it works: report_demand itself keeps to demand_interval and to changes. Test: demand_is_reported_once failed before (no three reports within 15 s) and passes now. Measured: nothing beyond the tests.

--- a/src/control/node_client.cpp
+++ b/src/control/node_client.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 
-// Interval for updating the manifest age and retrying a failed disk write.
+// Interval for updating the manifest age, reporting demand and retrying a failed disk write.
 constexpr time_ms timer_interval{1'000};
 
 void log_invalid_manifest(std::uint64_t version, const manifest::parse_result& parsed) {
@@ -194,6 +194,7 @@
             return;
         try_candidate();
         update_age();
+        report_demand();
         schedule_timer();
     });
 }
--- a/tests/control/cluster.cpp
+++ b/tests/control/cluster.cpp
@@ -182,8 +182,10 @@
 }
 
 entry_node::entry_node(const std::string& name, std::vector<asio::ip::tcp::endpoint> controls,
-                       std::string folder) {
+                       std::string folder,
+                       std::function<std::vector<routing::service_demand>()> demand) {
     node_client_settings settings;
+    settings.demand = std::move(demand);
     settings.self.node = name;
     settings.self.role = wire::node_role::entryd;
     settings.self.availability_zone = "az-1";
--- a/tests/control/cluster.h
+++ b/tests/control/cluster.h
@@ -93,11 +93,12 @@
     std::map<std::size_t, bool> started_before_;
 };
 
-// An entry node that only receives manifests.
+// An entry node that only receives manifests and, if `demand` is given, reports it.
 class entry_node {
   public:
     entry_node(const std::string& name, std::vector<boost::asio::ip::tcp::endpoint> controls,
-               std::string folder = {});
+               std::string folder = {},
+               std::function<std::vector<routing::service_demand>()> demand = {});
     entry_node(const entry_node&) = delete;
     entry_node& operator=(const entry_node&) = delete;
     ~entry_node();
--- a/tests/control/node_client_test.cpp
+++ b/tests/control/node_client_test.cpp
@@ -32,6 +32,10 @@
                 ++subscriptions;
                 peer->send(wire::manifest_state{version_, text_, current_});
             }
+            if (const auto* report = std::get_if<wire::demand_report>(&value)) {
+                std::lock_guard lock(mutex_);
+                reports_.push_back(report->demand);
+            }
         };
         server_ = std::make_shared<wire::channel_server>(loop_.context, self, wire::link_settings{},
                                                          callbacks);
@@ -49,12 +53,19 @@
         return {asio::ip::address_v4::loopback(), server_->port()};
     }
 
+    std::vector<std::vector<routing::service_demand>> reports() const {
+        std::lock_guard lock(mutex_);
+        return reports_;
+    }
+
     std::atomic<int> subscriptions{0};
 
   private:
     std::uint64_t version_;
     std::string text_;
     bool current_;
+    mutable std::mutex mutex_; // guards reports_
+    std::vector<std::vector<routing::service_demand>> reports_;
     loop_threads loop_;
     std::shared_ptr<wire::channel_server> server_;
 };
@@ -78,6 +89,7 @@
     CPPUNIT_TEST(age_rises_without_controld);
     CPPUNIT_TEST(corrupt_file_is_ignored);
     CPPUNIT_TEST(restart_in_a_cluster_keeps_the_version);
+    CPPUNIT_TEST(demand_is_reported_once);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -177,6 +189,19 @@
         CPPUNIT_ASSERT(!file.load().has_value());
     }
 
+    // The scheduler decided on the demand at the start of an entry node, which was sent before any
+    // link was open.
+    void demand_is_reported_once() {
+        stub_control control("demand", 1, sample_manifest(1));
+        std::atomic<int> queued{0};
+        entry_node node("demand/e-1", {control.address()}, {}, [&] {
+            return std::vector{routing::service_demand{"svc", ++queued, 0}};
+        });
+        CPPUNIT_ASSERT(eventually([&] { return control.reports().size() >= 3; }));
+        const auto reports = control.reports();
+        CPPUNIT_ASSERT(reports[1].front().queued > reports[0].front().queued);
+    }
+
     // Restarts entry nodes with and without a disk while one replica lags after being down.
     void restart_in_a_cluster_keeps_the_version() {
         cluster replicas("restart");
