--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -1,10 +1,13 @@
 // Forwards requests to the leading control node and retries across leader changes.
 //
-// The forwarded requests are idempotent, so an unanswered attempt is retried. A refusal after an
-// unanswered attempt is not returned to the client, because that attempt may have been executed.
+// The forwarded requests are idempotent, so an unanswered attempt is retried, but only after its
+// link was lost or the term has changed: until then it is still queued at the leader, or the
+// answer is on its way. A silent link is closed. A refusal after an unanswered attempt is not
+// returned to the client, because that attempt may have been executed.
 #pragma once
 
 #include "base/clock.h"
+#include "base/random.h"
 #include "control/cluster_links.h"
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace clementine::control {
 
@@ -31,6 +35,15 @@
 struct routed_reply {
     route_outcome outcome = route_outcome::not_run;
     wire::call_reply reply;
+    unsigned attempts = 0; // sent over a link
+};
+
+// Attempts over links. An attempt that is declined after a timeout counts as both.
+struct attempt_counters {
+    std::uint64_t sent = 0;
+    std::uint64_t retried = 0;   // of those sent: not the first of their request
+    std::uint64_t declined = 0;  // the receiver could not serve
+    std::uint64_t timed_out = 0; // unanswered for the time limit of an attempt
 };
 
 struct route_limits {
@@ -46,8 +59,9 @@
     // Executes a call on this node if it leads; returns false otherwise.
     using local_handler = std::function<bool(const wire::call&, const reply_handler&)>;
 
+    // `seed` spreads the pauses between attempts.
     leader_router(boost::asio::io_context& loop, const clock_source& clock, cluster_links& links,
-                  local_handler execute_locally);
+                  local_handler execute_locally, std::uint64_t seed = wire::new_boot_id());
     leader_router(const leader_router&) = delete;
     leader_router& operator=(const leader_router&) = delete;
     ~leader_router() = default;
@@ -60,7 +74,8 @@
     void observe(const std::string& node, const wire::call_reply& value);
     void observe_opened(const std::string& node);
     void observe_closed(const std::string& node);
-    // Retries the requests that are not sent, for example after this node became the leader.
+    // Retries the requests that are not sent without a pause, for example after this node became
+    // the leader.
     void retry_unsent();
 
     // The last known leader; empty if unknown.
@@ -71,6 +86,8 @@
     std::uint64_t leader_term() const { return leader_term_; }
     // True if a leader was known at any time in the last `period` ms.
     bool had_leader(time_ms period) const;
+    // The counts since the last call.
+    attempt_counters take_counters() { return std::exchange(counters_, {}); }
     void stop() { timer_.cancel(); }
 
   private:
@@ -80,12 +97,21 @@
         time_ms deadline{0};
         time_ms leader_deadline{0};
         time_ms sent_at{0};
-        std::string sent_to;       // empty while not sent
+        std::uint64_t sent_term = 0;
+        std::string sent_to; // empty while not sent
+        unsigned attempts = 0;
+        unsigned declined = 0;          // since the last change of the leader
+        time_ms retry_at{0};            // not sent again before
+        std::uint64_t resumed_term = 0; // term in which its pause was cut short
+        bool overdue = false;
         bool may_have_run = false; // an earlier attempt got no answer and may have been executed
         done_handler done;
     };
 
     void attempt(pending_request& item);
+    void pause(pending_request& item);
+    void resume_paused();
+    void retry_due();
     void finish(std::uint64_t id, route_outcome outcome, const wire::call_reply& reply);
     void process_timeouts();
     void schedule_timer();
@@ -100,6 +126,11 @@
     time_ms leader_confirmed_at_{0}; // last announcement by the leader itself
     std::uint64_t last_id_ = 0;
     std::map<std::uint64_t, pending_request> pending_;
+    attempt_counters counters_;
+    random_source random_;
+    // As of the last check.
+    std::size_t overdue_calls_ = 0;
+    std::size_t held_requests_ = 0;
 };
 
 } // namespace clementine::control
