Search a full pool once a round instead of for each waiting step

Cause: while a pool is full, each round searched all its workers again for every waiting step. Each blocked step also visited all workers to find the largest one, each waiting task looked up its id among the proposed starts, and each candidate counted its runs, although only long-running and best-effort tasks and steps with a limit per worker use the count. Rounds between a proposal and its commit collected the workers although nothing was left to place.

Change: a round remembers the needs that fit on no worker of a pool. Within a round workers only fill up (a gang that is not placed is taken back completely), so an equal or larger need fits on none either. It is remembered only for steps that room alone limits, without a label or a limit per worker. The largest worker is found once a round. Runs are counted only where the count is used. A round in which no task waits, other than those proposed, does not collect the workers.

--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -48,6 +48,7 @@
 // Event counts since the process started.
 struct controller_counters {
     std::uint64_t starts = 0;                               // orders to start a run
+    std::uint64_t placement_searches = 0;                   // of a pool for one task
     std::uint64_t unconfirmed_starts = 0;                   // not confirmed by the worker
     std::array<std::uint64_t, run_end_names.size()> ends{}; // by run_end
     std::uint64_t lost_runs = 0;
@@ -110,6 +111,7 @@
   private:
     struct ready_step {
         const job* owner = nullptr;
+        const queue_config* queue = nullptr; // nullptr if it was removed
         std::uint32_t occurrence = 0;
         std::uint32_t step = 0;
         bool long_running = false;
@@ -158,11 +160,13 @@
     void end_life_on_vm(const std::string& vm);
     void end_vanished_life(const vm_report& listed, time_ms asked_at);
     bool is_waiting(const ready_step& item) const;
+    bool is_starting(const ready_step& item) const;
     static void reserve_room(const ready_step& item, std::vector<worker*>& pool);
-    std::int64_t effective_cpu(std::int64_t cpu) const;
-    void place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
-    void place_ready_step(const ready_step& item, std::vector<worker*>& pool, time_ms now);
-    bool place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now);
+    void place_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
+                    time_ms now);
+    void place_ready_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
+                          time_ms now);
+    bool place_gang(const ready_step& item, candidate_pool& pool, time_ms now);
     void propose_start(const task_id& id, const task& item, worker& target, std::uint32_t run,
                        time_ms now);
     std::string preferred_rack(const ready_step& item) const;
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -15,6 +15,11 @@
 constexpr time_ms advice_slack{600};
 constexpr time_ms advice_retry{500};
 
+// Share of a worker's processor that a task takes if the worker holds only such tasks.
+std::int64_t effective_cpu(std::int64_t cpu, std::int64_t largest_cpu) {
+    return cpu <= 0 || cpu > largest_cpu ? cpu : largest_cpu / (largest_cpu / cpu);
+}
+
 } // namespace
 
 std::vector<controller::ready_step> controller::ready_steps(time_ms wall) const {
@@ -51,6 +56,7 @@
                 }
                 ready_step step;
                 step.owner = &item;
+                step.queue = queue;
                 step.occurrence = k;
                 step.step = s;
                 step.long_running = spec.long_running;
@@ -101,15 +107,16 @@
     return {};
 }
 
-// Share of a worker's processor that a task takes if the worker holds only such tasks.
-std::int64_t controller::effective_cpu(std::int64_t cpu) const {
-    std::int64_t largest = 0;
-    for (const auto& [id, item] : workers_)
-        largest = std::max(largest, item.capacity.cpu);
-    return cpu <= 0 || cpu > largest ? cpu : largest / (largest / cpu);
+// True if starts of tasks of the step wait for their commit.
+bool controller::is_starting(const ready_step& item) const {
+    const auto it = starting_.lower_bound({item.owner->id, item.occurrence, item.step, 0});
+    return it != starting_.end() && it->step == item.step && it->occurrence == item.occurrence &&
+           it->job == item.owner->id;
 }
 
-void controller::place_step(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+// `largest_cpu` is the processor of the largest worker.
+void controller::place_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
+                            time_ms now) {
     const auto& spec = item.owner->spec.steps[item.step];
     const auto& tasks = item.owner->occurrences[item.occurrence].steps[item.step].tasks;
     placement_request request;
@@ -118,22 +125,30 @@
     request.occurrence = item.occurrence;
     request.step_index = item.step;
     request.rack = preferred_rack(item);
+    const auto need = occupied_resources(spec);
+    const bool unplaceable = pool.is_unplaceable(need);
+    const bool starting = is_starting(item);
+    task_id id{item.owner->id, item.occurrence, item.step, 0};
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].phase != task_phase::waiting)
-            continue;
-        const task_id id{item.owner->id, item.occurrence, item.step, i};
-        if (starting_.contains(id))
+        id.index = i;
+        if (tasks[i].phase != task_phase::waiting || (starting && starting_.contains(id)))
             continue;
-        const auto failed = failed_on_.find(id);
-        request.avoid = failed == failed_on_.end() ? std::string() : failed->second;
-        auto* target = choose_worker(pool, request, now);
+        worker* target = nullptr;
+        if (!unplaceable) {
+            const auto failed = failed_on_.find(id);
+            request.avoid = failed == failed_on_.end() ? std::string() : failed->second;
+            ++counters_.placement_searches;
+            target = choose_worker(pool.workers, request, now);
+        }
         if (!target) {
+            if (!unplaceable && is_limited_by_room(spec))
+                pool.unplaceable.push_back(need);
             const auto waiting_tasks =
                 std::ranges::count_if(tasks.begin() + i, tasks.end(), [](const task& one) {
                     return one.phase == task_phase::waiting;
                 });
             blocked_cpu_[pool_of(*item.owner)] +=
-                waiting_tasks * effective_cpu(occupied_resources(spec).cpu);
+                waiting_tasks * effective_cpu(need.cpu, largest_cpu);
             return;
         }
         if (spec.colocate && request.rack.empty())
@@ -143,8 +158,10 @@
 }
 
 // Starts all members of a gang as one run, or none.
-bool controller::place_gang(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+bool controller::place_gang(const ready_step& item, candidate_pool& pool, time_ms now) {
     const auto& spec = item.owner->spec.steps[item.step];
+    if (pool.is_unplaceable(occupied_resources(spec)))
+        return false;
     const auto& progress = item.owner->occurrences[item.occurrence].steps[item.step];
     if (progress.waiting != spec.count)
         return false; // members of the last run have not ended
@@ -162,7 +179,8 @@
     const auto log_size = pending_decisions_.log.size();
     std::vector<std::pair<worker*, run_key>> placed;
     for (std::uint32_t i = 0; i < spec.count; ++i) {
-        auto* target = choose_worker(pool, request, now);
+        ++counters_.placement_searches;
+        auto* target = choose_worker(pool.workers, request, now);
         if (!target)
             break;
         if (spec.colocate && request.rack.empty())
@@ -184,38 +202,43 @@
 void controller::place(time_ms now, time_ms wall) {
     const auto steps = ready_steps(wall);
     blocked_cpu_.clear();
-    if (steps.empty())
+    // Until starts are committed, steps stay ready with nothing left to place.
+    if (std::ranges::none_of(steps, [this](const ready_step& item) {
+            return is_waiting(item) || (item.queue && item.queue->needs_placement_advice);
+        }))
         return;
-    std::map<std::string, std::vector<worker*>> pools;
+    std::map<std::string, candidate_pool> pools;
+    std::int64_t largest_cpu = 0;
     for (auto& [id, item] : workers_) {
+        largest_cpu = std::max(largest_cpu, item.capacity.cpu);
         if (accepts_runs(item, now))
-            pools[item.pool].push_back(&item);
+            pools[item.pool].workers.push_back(&item);
     }
     for (const auto& item : steps) {
-        auto& pool = pools[pool_of(*item.owner)];
-        const auto* queue = table_.config().find_queue(item.owner->queue);
-        if (queue && queue->needs_placement_advice) {
-            std::vector<worker*> allowed;
-            if (!find_advised_workers(item, pool, allowed, now))
+        auto& pool = pools[item.queue ? item.queue->pool : item.owner->pool];
+        if (item.queue && item.queue->needs_placement_advice) {
+            candidate_pool allowed;
+            if (!find_advised_workers(item, pool.workers, allowed.workers, now))
                 continue;
-            place_ready_step(item, allowed, now);
+            place_ready_step(item, allowed, largest_cpu, now);
             continue;
         }
-        place_ready_step(item, pool, now);
+        place_ready_step(item, pool, largest_cpu, now);
         if (item.long_running && is_waiting(item))
-            reserve_room(item, pool);
+            reserve_room(item, pool.workers);
     }
 }
 
 // True if tasks of the step have no worker yet.
 bool controller::is_waiting(const ready_step& item) const {
-    const auto& tasks = item.owner->occurrences[item.occurrence].steps[item.step].tasks;
-    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-        if (tasks[i].phase == task_phase::waiting &&
-            !starting_.contains({item.owner->id, item.occurrence, item.step, i}))
-            return true;
-    }
-    return false;
+    const auto& progress = item.owner->occurrences[item.occurrence].steps[item.step];
+    if (!is_starting(item))
+        return progress.waiting > 0;
+    task_id id{item.owner->id, item.occurrence, item.step, 0};
+    return std::ranges::any_of(progress.tasks, [&](const task& one) {
+        id.index = static_cast<std::uint32_t>(&one - progress.tasks.data());
+        return one.phase == task_phase::waiting && !starting_.contains(id);
+    });
 }
 
 // Excludes the worker with the most free processor from short tasks in this round, so that enough
@@ -237,11 +260,12 @@
         pool.erase(best);
 }
 
-void controller::place_ready_step(const ready_step& item, std::vector<worker*>& pool, time_ms now) {
+void controller::place_ready_step(const ready_step& item, candidate_pool& pool,
+                                  std::int64_t largest_cpu, time_ms now) {
     if (item.owner->spec.steps[item.step].gang)
         place_gang(item, pool, now);
     else
-        place_step(item, pool, now);
+        place_step(item, pool, largest_cpu, now);
 }
 
 // Fills `allowed` with the workers that may run a step; returns false while none is known.
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -55,12 +55,26 @@
     return cost;
 }
 
+// Counting visits all runs of a worker, so it is left out for tasks that share it with any others.
+bool needs_run_counts(const step_spec& step) {
+    return step.max_per_worker != 0 || step.best_effort || step.long_running;
+}
+
 bool has_label(const worker& candidate, const std::string& label) {
     return label.empty() || candidate.kind == label || candidate.rack == label;
 }
 
 } // namespace
 
+bool candidate_pool::is_unplaceable(const resources& need) const {
+    return std::ranges::any_of(unplaceable,
+                               [&](const resources& known) { return need.can_fit(known); });
+}
+
+bool is_limited_by_room(const step_spec& step) {
+    return step.required_label.empty() && step.max_per_worker == 0;
+}
+
 bool accepts_runs(const worker& candidate, time_ms now) {
     return candidate.reported && candidate.contacted && !candidate.draining && !candidate.leaving &&
            !candidate.reserved && !candidate.hold_unanswered &&
@@ -72,13 +86,14 @@
                       time_ms now) {
     const auto& step = *request.step;
     const auto need = occupied_resources(step);
+    const bool count = needs_run_counts(step);
     worker* best = nullptr;
     auto best_cost = std::numeric_limits<std::int64_t>::max();
     for (auto* candidate : pool) {
         if (!accepts_runs(*candidate, now) || !candidate->free().can_fit(need) ||
             !has_label(*candidate, step.required_label))
             continue;
-        const auto counts = count_runs(*candidate, request);
+        const auto counts = count ? count_runs(*candidate, request) : occupancy{};
         if (step.max_per_worker != 0 && counts.of_step >= step.max_per_worker)
             continue;
         std::int64_t cost = 0;
--- a/src/workload/placement.h
+++ b/src/workload/placement.h
@@ -22,6 +22,19 @@
     std::string rack;  // preferred rack of a colocated step; empty for any
 };
 
+// Workers of a pool that a decision round may choose from. Within a round they only fill up, so
+// what fits on none of them once fits on none of them later.
+struct candidate_pool {
+    std::vector<worker*> workers;
+    std::vector<resources> unplaceable; // needs that no worker has room for
+
+    // True if a task is known to fit on no worker.
+    bool is_unplaceable(const resources& need) const;
+};
+
+// True if a task of a step finds no worker only because none has room for it.
+bool is_limited_by_room(const step_spec& step);
+
 // True if a worker may be given new runs now.
 bool accepts_runs(const worker& candidate, time_ms now);
 
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -44,6 +44,7 @@
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(advised_steps_run_only_on_allowed_workers);
     CPPUNIT_TEST(random_faults_violate_no_invariant);
+    CPPUNIT_TEST(full_pool_is_not_searched_for_each_waiting_step);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -351,6 +352,29 @@
                 std::size_t{0}, fleet.violations().size());
         }
     }
+
+    // In a surge hundreds of steps wait, and each round searched the full pool for every one.
+    void full_pool_is_not_searched_for_each_waiting_step() {
+        constexpr int jobs = 50;
+        constexpr time_ms submit_interval{20};
+        constexpr time_ms round_interval{5};
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(2'500);
+        const auto before = fleet.control().counters();
+        for (int i = 0; i < jobs; ++i) {
+            fleet.submit("qa", id_of(i), one_step(make_step(1, 5'000, 800)));
+            fleet.run_for(submit_interval);
+        }
+        CPPUNIT_ASSERT(fleet.control().pending_jobs("qa") >= 4);
+        const auto& after = fleet.control().counters();
+        const auto starts = after.starts - before.starts;
+        const auto searches = after.placement_searches - before.placement_searches;
+        CPPUNIT_ASSERT(starts >= 12 && searches >= starts);
+        CPPUNIT_ASSERT(searches - starts <= std::uint64_t{jobs * submit_interval / round_interval});
+        assert_no_violations(fleet);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
