Match workers' lists without copying ids, and keep totals of long-running runs

The load measurement, the planning of moves and each hold walked all runs of every worker to find its long-running ones.

A run now keeps the number of the worker's latest list that has it; a run without the current number is absent. A worker keeps the number and the processor of its long-running runs, updated where runs are added and removed, the only places where they change.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -292,12 +292,10 @@
             const auto& run = entry.second;
             return run.stop_answered_at != 0 || run.inherited;
         });
-        const bool serving = std::ranges::any_of(
-            item.runs, [](const auto& entry) { return entry.second.long_running; });
         if (item.contacted && !item.hold_unanswered) {
             order.lease_until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.lease_until);
-            order.wait = serving ? serving_hold_wait : hold_wait;
+            order.wait = item.long_running_runs > 0 ? serving_hold_wait : hold_wait;
             if (unresolved) {
                 order.wait = 0;
                 item.next_hold_at = now + hold_retry;
--- a/src/workload/controller_loads.cpp
+++ b/src/workload/controller_loads.cpp
@@ -72,11 +72,7 @@
             continue;
         auto& load = out[item.pool];
         ++load.workers;
-        load.capacity += item.capacity.cpu;
-        for (const auto& [key, run] : item.runs) {
-            if (run.long_running)
-                load.capacity -= run.need.cpu;
-        }
+        load.capacity += item.capacity.cpu - item.long_running_cpu;
     }
     const auto idle_standby_cpu = vms_.idle_standby_cpu();
     for (const auto& pool : table_.config().pools)
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -97,6 +97,7 @@
 // Updates the runs that the worker lists as running.
 void controller::resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at,
                                 time_ms now) {
+    ++from.answered_lists;
     for (const auto& item : lists.running) {
         auto* run = from.find(item.task, item.run);
         if (!run) {
@@ -120,6 +121,7 @@
                 .field("run", item.run)
                 .field("worker", from.ref.id);
         }
+        run->last_list = from.answered_lists;
         if (run->stage != run_stage::listed) {
             run->stage = run_stage::listed;
             run->inherited = false;
@@ -187,12 +189,9 @@
 void controller::resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at) {
     if (lists.ended.size() >= ends_per_answer)
         return;
-    std::set<run_key> listed;
-    for (const auto& item : lists.running)
-        listed.emplace(item.task, item.run);
     std::vector<run_key> absent;
     for (const auto& [key, run] : from.runs) {
-        if (listed.contains(key) || run.stage == run_stage::proposed)
+        if (run.last_list == from.answered_lists || run.stage == run_stage::proposed)
             continue;
         // The fencing number of this call bars all orders of earlier leaders.
         const bool confirmed = run.confirmed_at != 0 && run.confirmed_at < sent_at;
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -467,13 +467,8 @@
         const auto* vm_worker = worker_of(item, workers);
         if (vm_worker && (vm_worker->draining || vm_worker->hold_unanswered || vm_worker->reserved))
             continue;
-        supply[item.report.pool] += item.report.capacity.cpu;
-        if (!vm_worker)
-            continue;
-        for (const auto& [key, run] : vm_worker->runs) {
-            if (run.long_running)
-                supply[item.report.pool] -= run.need.cpu;
-        }
+        supply[item.report.pool] +=
+            item.report.capacity.cpu - (vm_worker ? vm_worker->long_running_cpu : 0);
     }
     std::map<std::string, std::int64_t> shortages;
     for (const auto& pool : table_.config().pools) {
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -25,7 +25,12 @@
 live_run& worker::add(live_run value) {
     used += value.need;
     run_key key{value.task, value.run};
-    return runs.emplace(std::move(key), std::move(value)).first->second;
+    const auto [it, added] = runs.emplace(std::move(key), std::move(value));
+    if (added && it->second.long_running) {
+        ++long_running_runs;
+        long_running_cpu += it->second.need.cpu;
+    }
+    return it->second;
 }
 
 void worker::remove(const run_key& key) {
@@ -33,6 +38,10 @@
     if (it == runs.end())
         return;
     used -= it->second.need;
+    if (it->second.long_running) {
+        --long_running_runs;
+        long_running_cpu -= it->second.need.cpu;
+    }
     runs.erase(it);
 }
 
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -48,6 +48,7 @@
     time_ms stop_sent_at{0};
     time_ms stop_answered_at{0}; // 0 until answered
 
+    std::uint64_t last_list = 0; // number of the worker's latest list that has the run; 0 if none
     int percent = 0;
     time_ms progress_at{0}; // when `percent` last rose
     int lists_without_progress = 0;
@@ -103,6 +104,9 @@
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
+    std::uint64_t answered_lists = 0;  // lists received from this life
+    std::int64_t long_running_cpu = 0; // processor of long-running `runs`
+    std::uint32_t long_running_runs = 0;
     time_ms tail_high_at{0}; // last time a tail latency was too close to its target
     resources used;
     worker_health health;
@@ -113,6 +117,7 @@
     // End of a lease granted now, on the worker's clock.
     time_ms lease_to_grant(time_ms now) const;
     live_run* find(const task_id& task, std::uint32_t run);
+    // `need` and `long_running` of an added run do not change.
     live_run& add(live_run value);
     void remove(const run_key& key);
 };
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST(advised_steps_run_only_on_allowed_workers);
     CPPUNIT_TEST(random_faults_violate_no_invariant);
     CPPUNIT_TEST(full_pool_is_not_searched_for_each_waiting_step);
+    CPPUNIT_TEST(long_running_totals_match_recount_on_random_days);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -375,6 +376,47 @@
         CPPUNIT_ASSERT(searches - starts <= std::uint64_t{jobs * submit_interval / round_interval});
         assert_no_violations(fleet);
     }
+
+    // A total that drifts from the runs of its worker would misstate the capacity of a pool.
+    void long_running_totals_match_recount_on_random_days() {
+        for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+            fleet_options options;
+            options.seed = seed;
+            options.late_order_share = 0.05;
+            options.commit_loss = 0.3;
+            fake_fleet fleet(options);
+            random_source random(seed * 104'729);
+            fleet.run_for(2'500);
+            bool counted_any = false;
+            for (int i = 0; i < 60; ++i) {
+                if (fleet.control().leading())
+                    fleet.submit("qa", id_of(i),
+                                 one_step(random.chance(0.2)
+                                              ? make_long_running_step(2, 1'500, 1)
+                                              : make_step(1 + random.below(6), 1'000, 500)));
+                fleet.run_for(random.between(50, 400));
+                if (random.chance(0.1))
+                    fleet.cancel(id_of(static_cast<int>(random.below(60))));
+                if (random.chance(0.08) && !fleet.workers().empty())
+                    fleet.crash(fleet.workers().begin()->first);
+                if (random.chance(0.04) && fleet.control().leading())
+                    fleet.replace_leader(random.between(0, 2'000));
+                for (const auto& [id, item] : fleet.control().workers()) {
+                    std::uint32_t runs = 0;
+                    std::int64_t cpu = 0;
+                    for (const auto& [key, run] : item.runs) {
+                        runs += run.long_running ? 1U : 0U;
+                        cpu += run.long_running ? run.need.cpu : 0;
+                    }
+                    const auto where = "seed " + std::to_string(seed) + " worker " + id;
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(where, runs, item.long_running_runs);
+                    CPPUNIT_ASSERT_EQUAL_MESSAGE(where, cpu, item.long_running_cpu);
+                    counted_any = counted_any || runs > 0;
+                }
+            }
+            CPPUNIT_ASSERT(counted_any);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
