Look a job up once, without a copy of its id, when a run is reviewed

The review of all runs looked each job up twice in a map of strings, and each look-up by string_view copied the id first. `find_job` now compares the view itself, and the task is found from the job.

--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -374,9 +374,11 @@
     if (run.stage == run_stage::proposed)
         return true;
     const auto* owner = table_.find_job(run.task.job);
-    const auto* item = table_.find_task(run.task);
-    return owner && item && !owner->ended() && item->phase == task_phase::assigned &&
-           item->run == run.run && item->worker == target.ref;
+    if (!owner || owner->ended())
+        return false;
+    const auto* item = find_task(*owner, run.task);
+    return item && item->phase == task_phase::assigned && item->run == run.run &&
+           item->worker == target.ref;
 }
 
 void controller::issue_start(worker& target, live_run& run, time_ms now) {
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -21,6 +21,15 @@
     });
 }
 
+const task* find_task(const job& owner, const task_id& id) {
+    if (id.occurrence >= owner.occurrences.size())
+        return nullptr;
+    const auto& steps = owner.occurrences[id.occurrence].steps;
+    if (id.step >= steps.size() || id.index >= steps[id.step].tasks.size())
+        return nullptr;
+    return &steps[id.step].tasks[id.index];
+}
+
 std::uint32_t occurrence_count(const job_spec& spec) {
     return std::max<std::uint32_t>(1, spec.times);
 }
@@ -46,24 +55,21 @@
 }
 
 const job* job_table::find_job(std::string_view id) const {
-    const auto it = jobs_.find(std::string(id));
+    const auto it = jobs_.find(id);
     return it == jobs_.end() ? nullptr : &it->second;
 }
 
 const task* job_table::find_task(const task_id& id) const {
-    return const_cast<job_table*>(this)->task_of(id, nullptr); // NOLINT: shared lookup
+    const auto* owner = find_job(id.job);
+    return owner ? workload::find_task(*owner, id) : nullptr;
 }
 
 task* job_table::task_of(const task_id& id, job** owner) {
     const auto it = jobs_.find(id.job);
-    if (it == jobs_.end() || id.occurrence >= it->second.occurrences.size())
-        return nullptr;
-    auto& steps = it->second.occurrences[id.occurrence].steps;
-    if (id.step >= steps.size() || id.index >= steps[id.step].tasks.size())
-        return nullptr;
-    if (owner)
+    const auto* found = it == jobs_.end() ? nullptr : workload::find_task(it->second, id);
+    if (found)
         *owner = &it->second;
-    return &steps[id.step].tasks[id.index];
+    return const_cast<task*>(found); // NOLINT: shared look-up
 }
 
 bool job_table::apply_operation(const put_configuration& op) {
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -155,7 +155,7 @@
     std::vector<bool> apply(const command& value, std::uint64_t term);
 
     const configuration& config() const { return config_; }
-    const std::map<std::string, job>& jobs() const { return jobs_; }
+    const std::map<std::string, job, std::less<>>& jobs() const { return jobs_; }
     const job* find_job(std::string_view id) const;
     const task* find_task(const task_id& id) const;
     // Jobs that have not ended and ended jobs with assigned runs, by id.
@@ -188,7 +188,7 @@
     void drop_expired();
 
     configuration config_;
-    std::map<std::string, job> jobs_;
+    std::map<std::string, job, std::less<>> jobs_;
     std::map<std::string, const job*> open_; // points into `jobs_`, whose nodes never move
     std::map<time_ms, std::vector<std::string>> ended_; // ids by end time
     std::map<std::uint64_t, wave> waves_;
@@ -197,6 +197,8 @@
     std::uint64_t term_ = 0; // of the command being applied
 };
 
+// Task of a job that `id` is about, or nullptr.
+const task* find_task(const job& owner, const task_id& id);
 // True if all steps that a step depends on are done.
 bool dependencies_done(const job_spec& spec, const occurrence& in, std::size_t step);
 // Number of occurrences of a job: `times`, or one if it is 0.
