--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -18,6 +18,8 @@
 inline constexpr time_ms counted_clock_jump{10};
 // Limit on the entry data in one `ready::committed`, which contains at least one entry.
 inline constexpr std::size_t max_committed_bytes = 1024 * 1024;
+// Limit on the entry data that is kept in memory before a snapshot.
+inline constexpr std::size_t max_trailing_bytes = 16 * 1024 * 1024;
 
 // Snapshot whose chunks are still being received.
 struct incoming_snapshot {
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -198,7 +198,14 @@
                                                            .membership = c.log.members_at(index),
                                                            .data = std::move(data)});
     const auto trailing = std::min<index_t>(c.config.trailing_entries, index);
-    c.log.compact(std::move(taken), index + 1 - trailing);
+    const auto first_allowed = std::max(c.log.first(), index + 1 - trailing);
+    auto first_kept = index + 1;
+    for (std::size_t bytes = 0; first_kept > first_allowed; --first_kept) {
+        bytes += c.log.at(first_kept - 1).data.size();
+        if (bytes > max_trailing_bytes)
+            break;
+    }
+    c.log.compact(std::move(taken), first_kept);
     c.snapshot_pending = true;
 }
 
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(lagging_learner_is_not_promoted);
     CPPUNIT_TEST(transfer_moves_leadership_without_election_timeout);
     CPPUNIT_TEST(uncommitted_bytes_are_bounded);
+    CPPUNIT_TEST(large_entries_before_a_snapshot_fill_the_memory);
     CPPUNIT_TEST(stopped_replica_sends_nothing);
     CPPUNIT_TEST(own_vote_and_entries_count_only_after_sync);
     CPPUNIT_TEST(entries_of_earlier_terms_are_not_counted);
@@ -182,6 +183,35 @@
         CPPUNIT_ASSERT(std::holds_alternative<log_position>(leader.propose(largest_entry)));
     }
 
+    // The entries kept for slow followers were bounded in number only: large configurations filled
+    // the memory of a node.
+    void large_entries_before_a_snapshot_fill_the_memory() {
+        constexpr index_t max_kept = 32; // 16 MiB
+        const membership alone{.members = {{.id = 1, .node = "node-1", .voter = true}}};
+        replica node(
+            {.id = 1, .seed = 1},
+            {.state = {.term = 1, .vote = 0}, .snap = bootstrap_snapshot(alone), .entries = {}}, 0);
+        time_ms now = 0;
+        const auto run = [&] {
+            for (const auto end = now + 5'000; now < end;) {
+                now += 10;
+                node.tick(now);
+                while (node.has_ready())
+                    node.writes_synced(node.take_ready());
+            }
+        };
+        run();
+        for (index_t i = 0; i < max_kept + 8; ++i) {
+            CPPUNIT_ASSERT(std::holds_alternative<log_position>(
+                node.propose(std::string(max_entry_bytes, 'x'))));
+            while (node.has_ready())
+                node.writes_synced(node.take_ready());
+        }
+        node.take_snapshot(node.status().applied, "state");
+        run();
+        CPPUNIT_ASSERT_EQUAL(max_kept, node.status().last + 1 - node.status().first);
+    }
+
     // A replica whose fsync failed must not acknowledge anything after it.
     void stopped_replica_sends_nothing() {
         test_cluster cluster(3);
