Propose as many decisions of a round as a log entry takes

Cause: all decisions of a round were one log entry; one above 512 KiB is refused as too large, and the next round makes the same decisions again. Class of fault: an unbounded batch before a bounded record. Change: first_decisions takes decisions in order up to 256 KiB, at least one. The next round makes the others again from the state with the first ones applied.

--- a/src/control/decision_loop.cpp
+++ b/src/control/decision_loop.cpp
@@ -19,11 +19,28 @@
     return local.tm_hour;
 }
 
+// Limit on the decisions of one command; a large one would delay heartbeats.
+constexpr std::size_t max_round_bytes = consensus::max_entry_bytes / 2;
+
 constexpr std::string_view not_leading_reason =
     "not available yet: this controld has just become the leader";
 
 } // namespace
 
+store::apply_decisions first_decisions(const std::vector<scheduler::decision>& decisions,
+                                       std::size_t max_bytes) {
+    store::apply_decisions out;
+    std::size_t bytes = 0;
+    for (const auto& item : decisions) {
+        auto encoded = scheduler::encode_decision(item);
+        bytes += encoded.size();
+        if (bytes > max_bytes && !out.decisions.empty())
+            break;
+        out.decisions.push_back(std::move(encoded));
+    }
+    return out;
+}
+
 decision_loop::decision_loop(replica_host& host, scheduler::platform& platform,
                              const clock_source& clock, demand_source demand)
     : host_(host), platform_(platform), clock_(clock), demand_(std::move(demand)),
@@ -102,14 +119,14 @@
 }
 
 void decision_loop::propose(std::vector<scheduler::decision> decisions) {
-    store::apply_decisions entry;
+    auto entry = first_decisions(decisions, max_round_bytes);
     entry.leader_time = wall_clock_ms();
+    decisions.resize(entry.decisions.size());
     for (const auto& item : decisions) {
         log_event(log_level::info, "decision")
             .field("term", term_)
             .field("action", scheduler::format_action(item.what))
             .field("reason", item.reason);
-        entry.decisions.push_back(scheduler::encode_decision(item));
     }
     counters_.decisions += decisions.size();
     proposal_pending_ = true;
--- a/src/control/decision_loop.h
+++ b/src/control/decision_loop.h
@@ -28,6 +28,11 @@
     std::atomic<std::uint64_t> commands{0};
 };
 
+// Encodes the first decisions of a round, at least one and at most about `max_bytes` of them, as
+// one command. The next round makes the others again.
+store::apply_decisions first_decisions(const std::vector<scheduler::decision>& decisions,
+                                       std::size_t max_bytes);
+
 class decision_loop {
   public:
     // Returns the last reported demand of each service, summed over all entryds.
--- a/tests/control/decision_test.cpp
+++ b/tests/control/decision_test.cpp
@@ -2,6 +2,8 @@
 // maintenance that continues after a leader restart, and missing explanations for operators.
 #include "control/cluster.h"
 #include "control/decision_loop.h"
+#include "scheduler/codec.h"
+#include "store/codec.h"
 #include "support/fake_platform.h"
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -137,6 +139,7 @@
     CPPUNIT_TEST(jobs_of_the_manifest_run_once);
     CPPUNIT_TEST(restart_runs_no_job_twice);
     CPPUNIT_TEST(explains_vms_pools_and_jobs);
+    CPPUNIT_TEST(decisions_of_a_round_exceed_a_log_entry);
     CPPUNIT_TEST_SUITE_END();
 
   public:
@@ -171,6 +174,27 @@
             CPPUNIT_ASSERT(job.find("succeeded") != std::string::npos);
         });
     }
+
+    // A round that concerned most VMs of a large fleet exceeded a log entry, was refused, and was
+    // made again in each later round.
+    void decisions_of_a_round_exceed_a_log_entry() {
+        constexpr scheduler::vm_id vms = 20'000;
+        std::vector<scheduler::decision> decisions;
+        for (scheduler::vm_id id = 0; id < vms; ++id)
+            decisions.push_back({scheduler::begin_maintenance{id}, "in its window", 1});
+        std::size_t committed = 0;
+        while (!decisions.empty()) {
+            const auto entry = first_decisions(decisions, consensus::max_entry_bytes / 2);
+            CPPUNIT_ASSERT(store::encode(entry).size() <= consensus::max_entry_bytes);
+            CPPUNIT_ASSERT(!entry.decisions.empty());
+            CPPUNIT_ASSERT_EQUAL(scheduler::encode_decision(decisions.front()),
+                                 entry.decisions.front());
+            committed += entry.decisions.size();
+            decisions.erase(decisions.begin(), decisions.begin() + static_cast<std::ptrdiff_t>(
+                                                                       entry.decisions.size()));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{vms}, committed);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(decision_test);
