Compute critical paths of waiting jobs without allocations

Each round computes two critical paths for every job with a ready step, and allocated their step times several times.

The step times are now kept on the stack for jobs of up to eight steps.

--- a/src/workload/admission.cpp
+++ b/src/workload/admission.cpp
@@ -1,7 +1,8 @@
 #include "workload/admission.h"
 
+#include <boost/container/small_vector.hpp>
+
 #include <algorithm>
-#include <vector>
 
 namespace clementine::workload {
 
@@ -11,6 +12,9 @@
 // and the latency of orders and reports.
 constexpr double usable_slack = 0.8;
 constexpr time_ms min_retry_after{1'000};
+// One time for each step of a job. Each round computes them for every waiting job.
+constexpr std::size_t usual_steps = 8;
+using step_times = boost::container::small_vector<time_ms, usual_steps>;
 
 } // namespace
 
@@ -31,7 +35,7 @@
 }
 
 time_ms critical_path_length(const job_spec& spec, double rate) {
-    std::vector<time_ms> ends;
+    step_times ends;
     time_ms longest = 0;
     for (const auto& step : spec.steps) {
         time_ms begin = 0;
@@ -67,7 +71,7 @@
 time_ms remaining_critical_path_length(const job& item, double rate) {
     time_ms longest = 0;
     for (const auto& in : item.occurrences) {
-        std::vector<time_ms> ends;
+        step_times ends;
         for (std::size_t i = 0; i < item.spec.steps.size(); ++i) {
             const auto& step = item.spec.steps[i];
             time_ms begin = 0;
