Write a message at once when it is sent on a thread of the event loop

What callers saw: commits wait for messages between nodes, each of which left one pass of a late event loop after the decision to send it.

Cause: connection::send posted each frame to the executor of the connection, also from a handler of the same loop.

Evidence: connection_test a_message_sent_by_a_handler_does_not_wait_for_another_one on the code without the change: 0 bytes have arrived at the peer when the handler goes on, 19 after the change.

Change: dispatch instead of post. On a thread of the loop the frame is queued at once if nothing else holds the strand, otherwise it waits for the strand as before; other threads post as before. The first frame is written alone and those that follow until the write completes are gathered, as before. No callback runs inside send: the completion of a write is a handler of its own. A caller that sends under a lock of its own now also makes the system call under it.

Tests: the test above fails before. messages_of_one_sender_do_not_overtake_each_other passes before and after, and was seen to fail with the queue filled from its front ("overtaken 1001").

--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -73,10 +73,12 @@
         queued_bytes_ -= size;
         return false;
     }
-    asio::post(socket_.get_executor(),
-               [self = shared_from_this(), frame = std::move(*frame)]() mutable {
-                   self->enqueue(std::move(frame));
-               });
+    // On a thread of the event loop the frame leaves at once; what follows it until the write
+    // completes is gathered.
+    asio::dispatch(socket_.get_executor(),
+                   [self = shared_from_this(), frame = std::move(*frame)]() mutable {
+                       self->enqueue(std::move(frame));
+                   });
     return true;
 }
 
--- a/tests/wire/channel_test.cpp
+++ b/tests/wire/channel_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/write.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <condition_variable>
 #include <thread>
 
@@ -52,6 +53,14 @@
         events_.push_back(std::move(event));
         changed_.notify_all();
     }
+    // The first event that starts with a prefix; an empty string if there is none.
+    std::string find(const std::string& prefix) {
+        std::lock_guard lock(mutex_);
+        const auto match = std::find_if(events_.begin(), events_.end(), [&](const auto& event) {
+            return event.rfind(prefix, 0) == 0;
+        });
+        return match == events_.end() ? std::string() : *match;
+    }
     // Waits for the nth event that starts with a prefix; an empty string after 10 s.
     std::string wait_for(const std::string& prefix, int nth = 1) {
         std::unique_lock lock(mutex_);
@@ -115,6 +124,7 @@
     CPPUNIT_TEST(replaces_a_silent_connection_within_3_s);
     CPPUNIT_TEST(heartbeats_keep_an_idle_connection);
     CPPUNIT_TEST(malformed_input_closes_only_its_own_connection);
+    CPPUNIT_TEST(messages_of_one_sender_do_not_overtake_each_other);
     CPPUNIT_TEST(refuses_messages_beyond_the_send_queue);
     CPPUNIT_TEST(plaintext_requires_loopback_or_permission);
     CPPUNIT_TEST_SUITE_END();
@@ -248,6 +258,51 @@
         server->stop();
     }
 
+    // Guards against a message sent on a thread of the loop that passes one which still waits for
+    // the strand: two senders take turns on the threads of the loop, one has a thread of its own.
+    void messages_of_one_sender_do_not_overtake_each_other() {
+        constexpr std::uint64_t senders = 3;
+        constexpr std::uint64_t messages = 1'000;
+        event_recorder events;
+        std::array<std::uint64_t, senders> received{};
+        std::uint64_t total = 0;
+        io_threads threads;
+        channel_server::handlers callbacks;
+        callbacks.received = [&](const std::shared_ptr<connection>&, message&& value) {
+            const auto version = std::get<version_report>(value).version;
+            auto& next = received.at(version / messages);
+            if (version % messages != next++)
+                events.add("overtaken " + std::to_string(version));
+            if (++total == senders * messages)
+                events.add("all");
+        };
+        auto server = std::make_shared<channel_server>(threads.context, hello_of("s-1"),
+                                                       link_settings{}, callbacks);
+        CPPUNIT_ASSERT_EQUAL(std::string(), server->listen(loopback_any_port));
+        auto client = std::make_shared<channel>(
+            threads.context, tcp::endpoint{loopback_any_port.address(), server->port()},
+            hello_of("c-1"), link_settings{}, record_events(events));
+        client->start();
+        CPPUNIT_ASSERT(!events.wait_for("opened").empty());
+        std::function<void(std::uint64_t, std::uint64_t)> send_in_turns = [&](std::uint64_t sender,
+                                                                              std::uint64_t count) {
+            if (!client->send(version_report{sender * messages + count}))
+                events.add("refused");
+            if (count + 1 < messages)
+                asio::post(threads.context,
+                           [&, sender, count] { send_in_turns(sender, count + 1); });
+        };
+        asio::post(threads.context, [&] { send_in_turns(0, 0); });
+        asio::post(threads.context, [&] { send_in_turns(1, 0); });
+        for (std::uint64_t i = 0; i < messages; ++i)
+            CPPUNIT_ASSERT(client->send(version_report{2 * messages + i}));
+        CPPUNIT_ASSERT_EQUAL(std::string("all"), events.wait_for("all"));
+        client->stop();
+        server->stop();
+        CPPUNIT_ASSERT_EQUAL(std::string(), events.find("overtaken"));
+        CPPUNIT_ASSERT_EQUAL(std::string(), events.find("refused"));
+    }
+
     void refuses_messages_beyond_the_send_queue() {
         event_recorder events;
         io_threads threads;
--- a/tests/wire/connection_test.cpp
+++ b/tests/wire/connection_test.cpp
@@ -119,6 +119,7 @@
 class connection_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(connection_test);
     CPPUNIT_TEST(frames_that_arrive_together_do_not_cost_two_handlers_each);
+    CPPUNIT_TEST(a_message_sent_by_a_handler_does_not_wait_for_another_one);
     CPPUNIT_TEST(frames_in_parts_are_not_lost_or_reordered);
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_in_a_handler);
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_of_the_channel_in_a_handler);
@@ -142,6 +143,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{21}, pair.counters->frames_received.load());
     }
 
+    // Guards against an answer that leaves one pass of a late event loop after it was decided.
+    void a_message_sent_by_a_handler_does_not_wait_for_another_one() {
+        polled_link pair;
+        pair.open();
+        std::size_t sent_bytes = 0;
+        pair.on_received = [&] {
+            CPPUNIT_ASSERT(pair.link->send(version_report{7}));
+            sent_bytes = pair.peer.available();
+        };
+        pair.write(frames_of_reports(1, 1));
+        pair.run_until_events(1);
+        CPPUNIT_ASSERT_EQUAL(frames_of_reports(7, 7).size(), sent_bytes);
+    }
+
     // Guards against a loss of bytes where a frame and a read end at different places.
     void frames_in_parts_are_not_lost_or_reordered() {
         std::string bytes = frames_of_reports(1, 3);
