Limit the first frame of a link to the size of a greeting

What callers could see: a peer that has not introduced itself could make a control node reserve 4.5 MiB for each connection. Cause: the limit of frames was raised so that a request of 4 MiB can be forwarded, for all peers alike. Change: until hello is received a frame has at most 16 KiB. Test: unknown_peer_makes_a_node_reserve_a_large_frame failed before and passes now.

--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -155,7 +155,8 @@
                 return;
             std::array<unsigned char, frame_header_bytes> header_bytes{};
             std::copy_n(received.begin(), frame_header_bytes, header_bytes.begin());
-            header_ = parse_frame_header(header_bytes);
+            header_ = parse_frame_header(header_bytes, hello_received_ ? max_payload_bytes
+                                                                       : max_hello_payload_bytes);
             if (!header_)
                 return close(close_reason::malformed, "bad frame length");
             last_received_ = steady_clock::now();
--- a/tests/wire/connection_test.cpp
+++ b/tests/wire/connection_test.cpp
@@ -46,6 +46,14 @@
     return frames;
 }
 
+// Header of a frame with a payload of so many bytes.
+std::string header_of(std::size_t payload_bytes) {
+    std::string out(frame_header_bytes, '\0');
+    for (std::size_t i = 0; i < 4; ++i)
+        out[i] = static_cast<char>((payload_bytes >> (8 * i)) & 0xFFU);
+    return out;
+}
+
 std::string text_of(const message& value) {
     if (const auto* report = std::get_if<version_report>(&value))
         return "received " + std::to_string(report->version);
@@ -124,6 +132,7 @@
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_in_a_handler);
     CPPUNIT_TEST(no_frame_is_delivered_after_stop_of_the_channel_in_a_handler);
     CPPUNIT_TEST(frames_behind_a_bad_one_are_not_delivered);
+    CPPUNIT_TEST(unknown_peer_makes_a_node_reserve_a_large_frame);
     CPPUNIT_TEST(a_late_process_does_not_close_a_link_whose_peer_sends);
     CPPUNIT_TEST(a_peer_that_completes_no_frame_is_not_kept);
     CPPUNIT_TEST_SUITE_END();
@@ -229,17 +238,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("closed stopped"), events[1]);
     }
 
+    // Guards the memory of a node against peers that have not introduced themselves.
+    void unknown_peer_makes_a_node_reserve_a_large_frame() {
+        polled_link pair;
+        pair.write(header_of(max_hello_payload_bytes + 1));
+        pair.run_until_events(1);
+        pair.assert_events({"closed malformed"});
+    }
+
     // Guards against frames that are taken from a stream which is not in order any more.
     void frames_behind_a_bad_one_are_not_delivered() {
         auto wrong_checksum = frames_of_reports(3, 3);
         wrong_checksum.back() = static_cast<char>(wrong_checksum.back() ^ 1);
-        const auto too_long = static_cast<std::uint32_t>(max_payload_bytes + 1);
-        std::string oversize(frame_header_bytes, '\0');
-        for (std::size_t i = 0; i < 4; ++i)
-            oversize[i] = static_cast<char>((too_long >> (8 * i)) & 0xFFU);
         const std::vector<std::pair<std::string, std::string>> cases{
             {wrong_checksum, "closed malformed"},
-            {oversize, "closed malformed"},
+            {header_of(max_payload_bytes + 1), "closed malformed"},
             {std::string(frame_header_bytes, '\0'), "closed malformed"},
             {*make_frame("not a message"), "closed malformed"},
             {frame_of(hello_of("s-1")), "closed unexpected"}};
