Close a link whose answer cannot be queued, and stop nodes that did not start

What callers could see: since an unanswered call is sent again only if its link or its leader is lost, an answer dropped by a full send queue would end as unknown at the deadline. Found by review. Cause: the result of send was ignored. Change: the link is closed, and its peer sends its open calls again. A node whose start failed is stopped without a null server; that hid the error of a test that could not listen (exit code 139 in tests that ran beside each other). No test fills the queue of a link: not shown by a run.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -30,8 +30,7 @@
 constexpr time_ms max_round_delay{60};
 // Queued work is executed for this long before other events are handled.
 constexpr time_ms work_slice{3};
-// A submission that waited longer is refused, before its entry node takes the leader for silent
-// (450 ms) and sends it again.
+// A submission that waited longer is refused, before its entry node counts it as overdue (450 ms).
 constexpr time_ms max_submission_wait{300};
 constexpr time_ms overload_retry_after{1'000};
 // Operations wait this long to be batched into one log entry.
@@ -222,8 +221,10 @@
     flush_timer_.cancel();
     router_->stop();
     links_->stop();
-    http_server_->stop();
-    admin_server_->stop();
+    for (const auto& server : {http_server_, admin_server_}) {
+        if (server) // not if the start failed before
+            server->stop();
+    }
     for (auto& [address, pools] : worker_pools_) {
         pools.holds->stop();
         pools.orders->stop();
@@ -239,12 +240,15 @@
 void job_control::handle_incoming_link(const std::shared_ptr<wire::connection>& peer,
                                        wire::message&& value) {
     if (const auto* request = std::get_if<wire::call>(&value)) {
-        const bool handled =
-            handle_call(*request, [peer](const wire::call_reply& reply) { peer->send(reply); });
-        if (!handled) {
+        // The peer waits for an answer as long as the link is there.
+        const auto answer = [peer](const wire::call_reply& reply) {
+            if (!peer->send(reply))
+                peer->stop();
+        };
+        if (!handle_call(*request, answer)) {
             wire::call_reply declined;
             declined.id = request->id;
-            peer->send(declined);
+            answer(declined);
         }
         return;
     }
