Sync the folder above a new data folder

Cause: the log lies in a folder of its own below DataDir. It was made with mkdir, and the folder above was never synced, so that a loss of power may take the name, and with it the synced files below. All nodes make it at their first start and would lose it at one moment. Change: make_folder syncs the folder above, also if the new one exists, because an earlier process may have ended in between. Test: new_folder_is_lost_with_the_power failed before (no fsync of the folder above) and passes now; storage_test 12 of 12, replica_test 17 of 17.

--- a/src/consensus/posix_files.cpp
+++ b/src/consensus/posix_files.cpp
@@ -107,7 +107,9 @@
 leaf::result<void> posix_file_system::make_folder(const std::string& path) {
     if (::mkdir(path.c_str(), folder_mode) != 0 && errno != EEXIST)
         return make_io_error("mkdir", path, errno);
-    return {};
+    // Also if the folder exists: an earlier process may have ended in between.
+    const auto parent = std::filesystem::path(path).parent_path();
+    return sync_folder(parent.empty() ? "." : parent.string());
 }
 
 leaf::result<std::vector<std::string>> posix_file_system::list(const std::string& folder) {
--- a/tests/consensus/storage_test.cpp
+++ b/tests/consensus/storage_test.cpp
@@ -7,6 +7,23 @@
 
 #include <cstdlib>
 #include <filesystem>
+#include <set>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace {
+
+std::set<std::string> synced_paths;
+
+} // namespace
+
+// Replaces the function of the C library, to see what is synced.
+extern "C" int fsync(int descriptor) {
+    std::error_code ignored;
+    synced_paths.insert(
+        std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(descriptor), ignored));
+    return static_cast<int>(::syscall(SYS_fsync, descriptor));
+}
 
 namespace {
 
@@ -29,6 +46,7 @@
 class storage_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(storage_test);
     CPPUNIT_TEST(posix_folder_survives_a_restart);
+    CPPUNIT_TEST(new_folder_is_lost_with_the_power);
     CPPUNIT_TEST(folder_lock_excludes_a_second_storage);
     CPPUNIT_TEST(empty_and_foreign_folders_have_no_identity);
     CPPUNIT_TEST(conflicting_entries_replace_older_ones);
@@ -77,6 +95,18 @@
         CPPUNIT_ASSERT(report.state.entries == make_entries(2, 5, 3).append);
     }
 
+    // Its name was never synced in the folder above, so that a loss of power could take the whole
+    // log.
+    void new_folder_is_lost_with_the_power() {
+        char name[] = "/tmp/clementine-storage-XXXXXX";
+        CPPUNIT_ASSERT(::mkdtemp(name) != nullptr);
+        posix_file_system files;
+        synced_paths.clear();
+        storage(files, {.folder = std::string(name) + "/data", .cluster = "test"}).open();
+        std::filesystem::remove_all(name);
+        CPPUNIT_ASSERT(synced_paths.contains(name));
+    }
+
     void folder_lock_excludes_a_second_storage() {
         char name[] = "/tmp/clementine-storage-XXXXXX";
         CPPUNIT_ASSERT(::mkdtemp(name) != nullptr);
