--- a/tests/jobs/http_pool_test.cpp
+++ b/tests/jobs/http_pool_test.cpp
@@ -173,21 +173,21 @@
         use_raw_server();
         const auto host = "Host: 127.47.0.20:" + std::to_string(acceptor_->local_endpoint().port());
         const std::vector<std::pair<http_call, std::string>> calls{
-            {{"POST", "/order", {{"Target-Instance", "w1"}}, "{\"Run\":1}"},
+            {{"POST", "/order", {{"Instance", "w1"}}, "{\"run\":1}"},
              "POST /order HTTP/1.1\r\n" + host +
-                 "\r\nContent-Type: application/json\r\nTarget-Instance: w1\r\n"
-                 "Content-Length: 9\r\n\r\n{\"Run\":1}"},
+                 "\r\nContent-Type: application/json\r\nInstance: w1\r\n"
+                 "Content-Length: 9\r\n\r\n{\"run\":1}"},
             {{"POST", "/order", {}, ""},
              "POST /order HTTP/1.1\r\n" + host + "\r\nContent-Length: 0\r\n\r\n"},
             {{"POST", "/job", {{"host", "h"}, {"Content-Type", "text/plain"}}, "x"},
              "POST /job HTTP/1.1\r\nhost: h\r\nContent-Type: text/plain\r\n"
              "Content-Length: 1\r\n\r\nx"},
-            {{"GET", "/list?PageToken=a", {}, ""},
-             "GET /list?PageToken=a HTTP/1.1\r\n" + host + "\r\n\r\n"}};
+            {{"GET", "/list?page=a", {}, ""}, "GET /list?page=a HTTP/1.1\r\n" + host + "\r\n\r\n"}};
         std::optional<boost::asio::ip::tcp::socket> peer;
-        for (const auto& [call, expected] : calls) {
+        for (const auto& item : calls) {
+            const auto& expected = item.second;
             const auto answered = results_.size();
-            pool_->request(call, 2'000,
+            pool_->request(item.first, 2'000,
                            [this](const http_result& result) { results_.push_back(result); });
             if (!peer)
                 peer.emplace(acceptor_->accept());
