--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -515,7 +515,7 @@
 
 void job_control::handle_caller(const wire::call& request, const reply_handler& reply,
                                 time_ms waited) {
-    if (!log_->serving()) {
+    if (stopping_ || !log_->serving()) {
         load_.observe_declined_call();
         wire::call_reply declined;
         declined.id = request.id;
