Do not execute a forwarded request again from within its execution

What callers could see: a control node that crashes, or that proposes an operator's request twice, in the moment in which it becomes the leader. Cause: executing a request locally may find that this node leads now; that sends all requests that are not sent yet, and the one under execution was not marked. It was executed, answered and freed inside its own execution. Evidence: the reviewer's run of the real router under AddressSanitizer: heap-use-after-free. Change: a request is marked as sent before it is executed, on a copy; a request that is declined later counts as declined. Test: request_that_finds_a_new_leadership_is_executed_twice failed before (2 executions) and passes.

--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr time_ms check_interval{25};
+// In place of a node's name: the request is being executed here.
+constexpr std::string_view local_node = "local";
 // An unanswered attempt is overdue after this time; a commit takes about 15 ms.
 constexpr time_ms attempt_timeout{450};
 // The leader counts as unknown if it was not confirmed for this long.
@@ -51,22 +53,25 @@
         return;
     const auto id = item.request.id;
     const auto answer = [this, id](const wire::call_reply& reply) {
+        const auto it = pending_.find(id);
         if (reply.handled)
             finish(id, route_outcome::answered, reply);
+        else if (it != pending_.end() && it->second.sent_to == local_node) {
+            it->second.sent_to.clear();
+            pause(it->second);
+        }
     };
     if (execute_locally_) {
-        item.sent_to.clear();
-        // The reply may arrive before the call returns.
-        if (execute_locally_(item.request, answer)) {
-            const auto it = pending_.find(id);
-            if (it != pending_.end()) {
-                it->second.sent_to = "local";
-                it->second.sent_at = clock_.now();
-                it->second.sent_term = leader_term_;
-                it->second.overdue = false;
-            }
+        // Marked as sent before: the execution may find that this node leads now, which sends all
+        // requests that are not. The reply may arrive before the call returns.
+        const auto request = item.request;
+        item.sent_to = local_node;
+        item.sent_at = clock_.now();
+        item.sent_term = leader_term_;
+        item.overdue = false;
+        if (execute_locally_(request, answer))
             return;
-        }
+        item.sent_to.clear();
     }
     if (admit(overdue_calls_, 0) != admission::send) {
         ++held_requests_;
--- a/tests/control/leader_router_test.cpp
+++ b/tests/control/leader_router_test.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(call_lost_with_its_link_is_never_answered);
     CPPUNIT_TEST(call_lost_with_its_term_is_never_answered);
     CPPUNIT_TEST(calls_queue_up_at_a_leader_that_does_not_answer);
+    CPPUNIT_TEST(request_that_finds_a_new_leadership_is_executed_twice);
     CPPUNIT_TEST_SUITE_END();
 
     using reaction = standin_leader::reaction;
@@ -160,6 +161,32 @@
         run_for(100);
     }
 
+    // A node found out that it leads while it executed a request, and executed the same request
+    // again from within; the outer execution went on with a request that was gone.
+    void request_that_finds_a_new_leadership_is_executed_twice() {
+        std::size_t executed = 0;
+        leader_router local(
+            loop_, clock_, *links_,
+            [&](const wire::call& request, const leader_router::reply_handler& reply) {
+                ++executed;
+                wire::directory value;
+                value.leader = "self";
+                value.term = 2;
+                local.observe("self", value);
+                wire::call_reply answer;
+                answer.id = request.id;
+                answer.handled = true;
+                answer.status = status_ok;
+                reply(answer);
+                return true;
+            });
+        local.route({}, limits, [this](const routed_reply& reply) { replies_.push_back(reply); });
+        CPPUNIT_ASSERT(wait_for_replies(1));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, executed);
+        local.stop();
+        run_for(50);
+    }
+
     // A leader without its lease was sent 200 to 4,607 calls a second and had no time left to get
     // its lease back.
     void declined_calls_are_sent_again_without_pause() {
