--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -145,8 +145,8 @@
     immediate_work out;
     if (c.role == replica_role::stopped)
         return out;
-    // Entries in the outstanding work are applied first.
-    if (!c.snapshot_pending && !c.install_outstanding && !c.committed_outstanding)
+    // Entries in the outstanding work are applied first, those after a received snapshot later.
+    if (!c.install_pending && !c.install_outstanding && !c.committed_outstanding)
         out.committed = c.take_committed();
     // A leader of a term that is not durable may vote again in that term after a restart.
     if (!c.is_leader() || c.state_outstanding || c.hard != c.last_taken_state)
--- a/tests/consensus/replica_test.cpp
+++ b/tests/consensus/replica_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(messages_for_an_old_id_are_ignored);
     CPPUNIT_TEST(backward_clock_step_ends_the_lease);
     CPPUNIT_TEST(immediate_entries_overtake_outstanding_ones);
+    CPPUNIT_TEST(snapshot_of_its_own_delays_committed_entries);
     CPPUNIT_TEST_SUITE_END();
 
     static std::size_t applied_command_count(const test_cluster::node& node) {
@@ -266,6 +267,33 @@
         CPPUNIT_ASSERT_EQUAL(index_t{3}, core.commit_index());
     }
 
+    // Each snapshot that a leader took held up all commits until it was written.
+    void snapshot_of_its_own_delays_committed_entries() {
+        replica core({.id = 1},
+                     {.state = {.term = 1, .vote = 0},
+                      .snap = bootstrap_snapshot(three_voters()),
+                      .entries = {}},
+                     0);
+        const auto now = tick_until(core, replica_role::pre_candidate, 0);
+        core.step({.from = 2, .to = 1, .term = 2, .body = vote_reply{true, true}}, now);
+        complete_ready(core);
+        core.step({.from = 2, .to = 1, .term = 2, .body = vote_reply{true, false}}, now);
+        complete_ready(core);
+        const auto acknowledge = [&](index_t index) {
+            const append_reply reply{
+                .accepted = true, .match = index, .prev_index = index, .sent_at = now};
+            core.step({.from = 2, .to = 1, .term = 2, .body = reply}, now);
+        };
+        acknowledge(2);
+        core.propose("x");
+        complete_ready(core);
+        core.take_snapshot(2, "state");
+        acknowledge(3);
+        const auto committed = core.take_immediate().committed;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, committed.size());
+        CPPUNIT_ASSERT_EQUAL(index_t{3}, committed.front().index);
+    }
+
     // Entries were applied out of order while earlier ones waited for a write, such as a snapshot.
     void immediate_entries_overtake_outstanding_ones() {
         replica core({.id = 1},
