Execute queued work only under the lease, and pause between all rounds

Now queued work waits for the lease; without it the work is dropped with the leadership. - The pause between rounds held for requested rounds only; the tick ran one every 25 ms all the same. The tick now requests a round. - VM lists and answers about VM orders overtook answers of workers that had come before them; they take the same queue now. - A configuration whose operation was not applied got no answer; it gets 504 now. Tests: test_jobs 28 of 28.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -24,8 +24,8 @@
 // With many workers each round costs more, and a longer delay saves log entries and syncs.
 constexpr time_ms round_delay{3};
 constexpr time_ms round_delay_many_workers{15};
-// A round starts no sooner after the last one than this multiple of its duration, which leaves most
-// of the time to the execution of decisions.
+// A round follows the last one after a pause of this multiple of its duration, which leaves most of
+// the time to the execution of decisions.
 constexpr time_ms round_pause_factor = 3;
 constexpr time_ms max_round_delay{60};
 // Queued work is executed for this long before other events are handled.
@@ -460,7 +460,9 @@
                 links_->send(router_->leader(), wire::join_request{log_->id()});
             }
             if (was_serving_)
-                run_round();
+                request_round();
+            if (!work_.empty())
+                schedule_work();
             schedule_tick();
         });
 }
@@ -590,7 +592,7 @@
     const bool proposed = propose({std::move(op)}, [this, id](const command_outcome& result) {
         const auto callers = submissions_.extract(id);
         if (!result || callers.empty())
-            return; // the callers retry with the next leader
+            return; // sent again to the next leader
         for (const auto& caller : callers.mapped())
             caller.reply(make_reply(caller.request_id, status_ok));
         request_round();
@@ -657,8 +659,13 @@
     const bool proposed =
         propose({put_configuration{request.value}}, [this, version](const command_outcome& result) {
             const auto callers = proposed_configurations_.extract(version);
-            if (!result || callers.empty() || table_.config().version < version)
-                return; // the callers retry
+            if (!result || callers.empty())
+                return; // sent again to the next leader
+            if (table_.config().version < version) {
+                for (const auto& caller : callers.mapped())
+                    caller.reply(make_reply(caller.request_id, status_gateway_timeout));
+                return;
+            }
             log_event(log_level::info, "configuration_in_force").field("version", version);
             for (const auto& caller : callers.mapped())
                 caller.reply(make_reply(caller.request_id, status_ok));
@@ -802,7 +809,9 @@
         return;
     asio::post(loop_, [this] {
         work_due_ = false;
-        if (stopped_)
+        // Without the lease another node may lead already, and a worker that it has not reached yet
+        // would obey. The tick continues when the lease is back.
+        if (stopped_ || !log_->serving())
             return;
         const auto end = clock_.now() + work_slice;
         while (work_.run_one(clock_.now()) && clock_.now() < end) {
@@ -926,7 +935,10 @@
             result.vms = std::move(vms);
             metrics_.add("clementine_platform_calls",
                          {{"answer", std::string(to_name(result.answer))}});
-            observe_result(value, result, exchange);
+            // Behind the answers of workers that came before it.
+            queue_work(work_class::accepted_work,
+                       [this, value = std::move(value), result = std::move(result),
+                        exchange](time_ms) { observe_result(value, result, exchange); });
         });
 }
 
