--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -425,7 +425,7 @@
         directory.term = router_->leader_term();
     }
     if (serving)
-        directory.members = log_->members().members;
+        directory.members = log_->committed_members().members;
     directory_published_at_ = clock_.now();
     router_->observe(settings_.link_address, directory);
     links_->broadcast(directory);
@@ -433,7 +433,7 @@
 
 void job_control::connect_members() {
     std::set<std::string> wanted(settings_.seeds.begin(), settings_.seeds.end());
-    for (const auto& member : log_->members().members)
+    for (const auto& member : log_->committed_members().members)
         wanted.insert(member.node);
     for (const auto& node : wanted)
         links_->connect(node);
@@ -484,7 +484,7 @@
         .field("declined_calls", load.declined_calls)
         .field("uncommitted", std::uint64_t{pending_commands_.size()})
         .field("queued_work", std::uint64_t{work_.size()})
-        .field("order_age_ms", work_.oldest_age(work_class::accepted_work, now))
+        .field("order_age_ms", work_.oldest_age(work_class::worker_traffic, now))
         .field("request_age_ms", work_.oldest_age(work_class::caller_request, now));
     for (std::size_t i = 0; i < load.work_done.size(); ++i) {
         const auto& item = load.work_done[i];
@@ -825,7 +825,7 @@
     const auto now = clock_.now();
     const auto uncommitted =
         pending_commands_.empty() ? 0 : now - pending_commands_.begin()->second.proposed_at;
-    return uncommitted + work_.oldest_age(work_class::accepted_work, now);
+    return uncommitted + work_.oldest_age(work_class::worker_traffic, now);
 }
 
 http_pool& job_control::worker_pool(const std::string& address, bool for_holds) {
@@ -855,7 +855,7 @@
         return send_vm_order(std::move(value), {}, {});
     if (std::holds_alternative<advise_order>(value))
         return send_advise_order(std::move(value));
-    queue_work(work_class::accepted_work,
+    queue_work(work_class::worker_traffic,
                [this, value = std::move(value), fence = controller_.fence()](time_ms) {
                    // Another leader, or a later term, decides anew.
                    if (controller_.fence() == fence)
@@ -878,7 +878,7 @@
     worker_pool(address, hold != nullptr)
         .request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
                  [this, value](const http_result& exchange) {
-                     queue_work(work_class::accepted_work, [this, value, exchange](time_ms) {
+                     queue_work(work_class::worker_traffic, [this, value, exchange](time_ms) {
                          observe_result(value, decode_result(value, exchange), exchange);
                      });
                  });
@@ -936,7 +936,7 @@
             metrics_.add("clementine_platform_calls",
                          {{"answer", std::string(to_name(result.answer))}});
             // Behind the answers of workers that came before it.
-            queue_work(work_class::accepted_work,
+            queue_work(work_class::worker_traffic,
                        [this, value = std::move(value), result = std::move(result),
                         exchange](time_ms) { observe_result(value, result, exchange); });
         });
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -31,7 +31,7 @@
 }
 
 void leader_router::route(wire::call request, route_limits limits, done_handler done) {
-    if (admit(overdue_calls_, held_requests_) == admission::refuse)
+    if (admit_call(overdue_calls_, held_requests_) == call_admission::refuse)
         return done({});
     const auto now = clock_.now();
     request.id = ++last_id_;
@@ -73,7 +73,7 @@
             return;
         item.sent_to.clear();
     }
-    if (admit(overdue_calls_, 0) != admission::send) {
+    if (admit_call(overdue_calls_, 0) != call_admission::send) {
         ++held_requests_;
         return;
     }
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -87,7 +87,7 @@
     // Node name of the leader; empty if unknown.
     std::string leader() const;
     // The committed membership: whoever is not part of a published one discards its log.
-    const consensus::membership& members() const { return core_->committed_members(); }
+    const consensus::membership& committed_members() const { return core_->committed_members(); }
     bool is_voter() const { return core_->members().is_voter(id_); }
     consensus::index_t commit_index() const { return core_->commit_index(); }
 
--- a/src/control/retry_policy.cpp
+++ b/src/control/retry_policy.cpp
@@ -17,10 +17,10 @@
     return now + min_answer_time <= deadline;
 }
 
-admission admit(std::size_t overdue, std::size_t held) {
+call_admission admit_call(std::size_t overdue, std::size_t held) {
     if (overdue < late_leader_calls)
-        return admission::send;
-    return held < max_held_calls ? admission::hold : admission::refuse;
+        return call_admission::send;
+    return held < max_held_calls ? call_admission::hold : call_admission::refuse;
 }
 
 } // namespace clementine::control
--- a/src/control/retry_policy.h
+++ b/src/control/retry_policy.h
@@ -28,7 +28,7 @@
 // Requests that a node holds while the leader is late.
 inline constexpr std::size_t max_held_calls = 256;
 
-enum class admission { send, hold, refuse };
+enum class call_admission { send, hold, refuse };
 
 // Pause after the given number of declined attempts, at least 1. `random` is in [0, 1).
 time_ms retry_pause(unsigned declined, double random);
@@ -38,6 +38,6 @@
 
 // Decides on a new request. `overdue` calls are unanswered for longer than the time limit of an
 // attempt, `held` requests are not sent.
-admission admit(std::size_t overdue, std::size_t held);
+call_admission admit_call(std::size_t overdue, std::size_t held);
 
 } // namespace clementine::control
--- a/src/control/work_queue.cpp
+++ b/src/control/work_queue.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Items for accepted work between two requests of callers, while both wait.
-constexpr int accepted_work_per_request = 4;
+// Items of worker traffic between two requests of callers, while both wait.
+constexpr int worker_traffic_per_request = 4;
 
 } // namespace
 
@@ -22,13 +22,13 @@
 bool work_queue::run_one(time_ms now) {
     if (empty())
         return false;
-    auto& accepted = items(work_class::accepted_work);
+    auto& traffic = items(work_class::worker_traffic);
     auto& requests = items(work_class::caller_request);
     const bool request_next =
-        accepted.empty() ||
-        (!requests.empty() && accepted_work_in_turn_ >= accepted_work_per_request);
-    auto& next = request_next ? requests : accepted;
-    accepted_work_in_turn_ = request_next ? 0 : accepted_work_in_turn_ + 1;
+        traffic.empty() ||
+        (!requests.empty() && worker_traffic_in_turn_ >= worker_traffic_per_request);
+    auto& next = request_next ? requests : traffic;
+    worker_traffic_in_turn_ = request_next ? 0 : worker_traffic_in_turn_ + 1;
     auto item = std::move(next.front());
     next.pop_front();
     item.run(now - item.queued_at);
--- a/src/control/work_queue.h
+++ b/src/control/work_queue.h
@@ -19,11 +19,11 @@
 namespace clementine::control {
 
 enum class work_class {
-    accepted_work, // orders to workers, and their answers
+    worker_traffic, // orders, and the answers of workers and of the platform
     caller_request
 };
 
-inline constexpr name_table<2> work_class_names{"accepted-work", "caller-request"};
+inline constexpr name_table<2> work_class_names{"worker-traffic", "caller-request"};
 constexpr const auto& names_of(work_class) {
     return work_class_names;
 }
@@ -51,7 +51,7 @@
     std::deque<queued_work>& items(work_class kind);
 
     std::array<std::deque<queued_work>, work_class_names.size()> queues_;
-    int accepted_work_in_turn_ = 0; // items executed since the last caller's request
+    int worker_traffic_in_turn_ = 0; // items executed since the last caller's request
 };
 
 } // namespace clementine::control
--- a/tests/control/log_node_test.cpp
+++ b/tests/control/log_node_test.cpp
@@ -302,11 +302,11 @@
         leading.log->request_join(joining, new_id);
         const auto before = received_by_followers(leading);
         CPPUNIT_ASSERT(wait_for([&] { return received_by_followers(leading) == before + 2; }, 200));
-        CPPUNIT_ASSERT(leading.log->members().find(new_id) == nullptr);
+        CPPUNIT_ASSERT(leading.log->committed_members().find(new_id) == nullptr);
         for (auto& [name, item] : replicas_)
             item.files.gate.open();
-        CPPUNIT_ASSERT(
-            wait_for([&] { return leading.log->members().find(new_id) != nullptr; }, 200));
+        CPPUNIT_ASSERT(wait_for(
+            [&] { return leading.log->committed_members().find(new_id) != nullptr; }, 200));
     }
 
     // Heartbeats do not wait for writes, but a leader whose disk hangs must not go on sending them.
--- a/tests/control/retry_policy_test.cpp
+++ b/tests/control/retry_policy_test.cpp
@@ -44,10 +44,10 @@
     }
 
     void late_leader_gets_every_call() {
-        CPPUNIT_ASSERT(admit(late_leader_calls - 1, max_held_calls) == admission::send);
-        CPPUNIT_ASSERT(admit(late_leader_calls, 0) == admission::hold);
-        CPPUNIT_ASSERT(admit(late_leader_calls, max_held_calls - 1) == admission::hold);
-        CPPUNIT_ASSERT(admit(late_leader_calls, max_held_calls) == admission::refuse);
+        CPPUNIT_ASSERT(admit_call(late_leader_calls - 1, max_held_calls) == call_admission::send);
+        CPPUNIT_ASSERT(admit_call(late_leader_calls, 0) == call_admission::hold);
+        CPPUNIT_ASSERT(admit_call(late_leader_calls, max_held_calls - 1) == call_admission::hold);
+        CPPUNIT_ASSERT(admit_call(late_leader_calls, max_held_calls) == call_admission::refuse);
     }
 };
 
