--- a/src/control/proposal_queue.h
+++ b/src/control/proposal_queue.h
@@ -32,7 +32,8 @@
         : max_entry_bytes_(max_entry_bytes), max_operation_bytes_(max_operation_bytes) {}
 
     // Queues operations that are logged in this order. `done` is called once with the outcome of
-    // all of them. Returns false and queues nothing if one of them exceeds its limit.
+    // all of them, or never if the queue is cleared. Returns false and queues nothing if one of
+    // them exceeds its limit.
     bool push(const std::vector<workload::operation>& operations, done_handler done);
     bool empty() const { return queue_.empty(); }
     void clear() { queue_.clear(); }
