Process soak: report a task that starts again although its end was acknowledged

The platform's rules allow this: an end counts only if it is acknowledged before the lease lapses. Change: the stand-in worker reports each acknowledged end whose lease has not lapsed since. The soak fails on an acknowledged end of an older run than the latest one, and on a start after an acknowledged end. The note stays.

--- a/bench/leader_time.cpp
+++ b/bench/leader_time.cpp
@@ -126,7 +126,7 @@
         options.announce_interval = 1'500;
         for (int i = 0; i < 5; ++i)
             options.controls.push_back(fleet_.control_address((index + i) % 5));
-        options.run_started = [this](const std::string&) { ++starts_; };
+        options.run_started = [this](const std::string&, std::int64_t) { ++starts_; };
         workers_.push_back(std::make_unique<standin_worker>(loop_, clock_, std::move(options)));
         workers_.back()->start();
     }
--- a/tests/jobs/standin_worker.cpp
+++ b/tests/jobs/standin_worker.cpp
@@ -109,6 +109,7 @@
     }
     for (const auto& [task, reason] : finished)
         end_run(task, reason);
+    mark_ends_if_lease_lapsed();
     for (std::size_t i = 0; i < pending_holds_.size();) {
         const bool has_new_ends =
             !ended_runs_.empty() && ended_runs_.back().number > pending_holds_[i].last_seen;
@@ -136,6 +137,18 @@
     runs_.erase(at);
 }
 
+void standin_worker::extend_lease(time_ms until) {
+    mark_ends_if_lease_lapsed();
+    lease_until_ = std::max(lease_until_, until);
+}
+
+void standin_worker::mark_ends_if_lease_lapsed() {
+    if (now() <= lease_until_)
+        return;
+    for (auto& ended : ended_runs_)
+        ended.lease_lapsed = true;
+}
+
 void standin_worker::handle(const http_request& request, const http_respond& respond) {
     boost::system::error_code error;
     const auto document = json::parse(request.body(), error);
@@ -174,11 +187,11 @@
         reply["Reason"] = "late";
         return status_conflict;
     }
-    lease_until_ = std::max<time_ms>(lease_until_, until);
+    extend_lease(until);
     const std::string payload(body.at("Spec").as_string());
     runs_[task] = {number, now(), std::atol(payload.c_str()), payload == "fails"};
     ++starts_[task];
-    options_.run_started(task);
+    options_.run_started(task, number);
     return status_ok;
 }
 
@@ -193,7 +206,11 @@
 
 void standin_worker::handle_hold(const json::object& body, const http_respond& respond) {
     const auto last_seen = number_at(body, "LastSeen");
-    lease_until_ = std::max<time_ms>(lease_until_, number_at(body, "UntilMs"));
+    extend_lease(number_at(body, "UntilMs"));
+    for (const auto& ended : ended_runs_) {
+        if (ended.number <= last_seen && !ended.lease_lapsed)
+            options_.end_acknowledged(ended.task, ended.run, ended.reason);
+    }
     std::erase_if(ended_runs_, [&](const ended_run& item) { return item.number <= last_seen; });
     pending_holds_.push_back({last_seen, now() + number_at(body, "WaitMs"), respond});
 }
--- a/tests/jobs/standin_worker.h
+++ b/tests/jobs/standin_worker.h
@@ -27,9 +27,14 @@
     time_ms tick_interval{10};         // between checks of runs and pending holds
     time_ms announce_interval{300};
     // Called when a run starts, and when it ends, with the reason.
-    std::function<void(const std::string& task)> run_started = [](const std::string&) {};
+    std::function<void(const std::string& task, std::int64_t run)> run_started =
+        [](const std::string&, std::int64_t) {};
     std::function<void(const std::string& task, const std::string& reason)> run_ended =
         [](const std::string&, const std::string&) {};
+    // Called when the control nodes acknowledge the end of a run, unless the lease has lapsed
+    // since.
+    std::function<void(const std::string& task, std::int64_t run, const std::string& reason)>
+        end_acknowledged = [](const std::string&, std::int64_t, const std::string&) {};
 };
 
 class standin_worker {
@@ -62,6 +67,7 @@
         std::string task;
         std::int64_t run = 0;
         std::string reason;
+        bool lease_lapsed = false; // after the end
     };
     struct pending_hold {
         std::int64_t last_seen = 0;
@@ -75,6 +81,8 @@
     void handle_hold(const boost::json::object& body, const control::http_respond& respond);
     void respond_to_hold(const pending_hold& hold);
     void end_run(const std::string& task, const char* reason);
+    void extend_lease(time_ms until);
+    void mark_ends_if_lease_lapsed();
     void announce();
     void tick();
     time_ms now() const { return clock_.now(); }
--- a/tests/process_soak/main.cpp
+++ b/tests/process_soak/main.cpp
@@ -145,8 +145,10 @@
     std::map<std::string, submitted_job> jobs_;
     std::map<std::string, int> active_runs_; // concurrent runs by task
     std::map<std::string, int> completed_runs_;
-    std::set<std::string> unavailable_processes_; // killed, stopped or paused processes
-    std::map<std::string, time_ms> disturbed_at_; // by address
+    std::map<std::string, std::int64_t> latest_run_; // highest run that has started, by task
+    std::set<std::string> done_acknowledged_;        // tasks
+    std::set<std::string> unavailable_processes_;    // killed, stopped or paused processes
+    std::map<std::string, time_ms> disturbed_at_;    // by address
     time_ms next_control_fault_at_{0};
     bool power_loss_awaited_ = false;
     int power_losses_ = 0;
@@ -190,9 +192,12 @@
     options.ip = network_prefix(options_.seed) + ".1." + std::to_string(index + 1);
     for (int i = 0; i < size_.controls; ++i)
         options.controls.push_back(fleet_.control_address(i));
-    options.run_started = [this](const std::string& task) {
+    options.run_started = [this](const std::string& task, std::int64_t run) {
         if (++active_runs_[task] > 1)
             report_violation("task " + task + " has two concurrent runs");
+        latest_run_[task] = std::max(latest_run_[task], run);
+        if (done_acknowledged_.contains(task))
+            report_violation("task " + task + " started after its end was acknowledged");
         const auto job = jobs_.find(task.substr(0, task.find('.')));
         if (job == jobs_.end())
             report_violation("task " + task + " was never submitted");
@@ -203,6 +208,16 @@
         --active_runs_[task];
         completed_runs_[task] += outcome == "done" ? 1 : 0;
     };
+    options.end_acknowledged = [this](const std::string& task, std::int64_t run,
+                                      const std::string& outcome) {
+        if (outcome != "done")
+            return;
+        done_acknowledged_.insert(task);
+        if (latest_run_[task] > run)
+            report_violation("the end of run " + std::to_string(run) + " of task " + task +
+                             " was acknowledged after run " + std::to_string(latest_run_[task]) +
+                             " had started");
+    };
     auto worker = std::make_unique<standin_worker>(loop_, clock_, options);
     const auto error = worker->start();
     if (!error.empty())
@@ -544,7 +559,7 @@
             report_violation("accepted job " + id + " did not complete; its state is " + job.state);
     }
     for (const auto& [task, count] : completed_runs_) {
-        if (count > 1)
+        if (count > 1) // allowed if only the last end was acknowledged
             std::cout << "process_soak: note: task " << task << " ended done " << count
                       << " times\n";
     }
