Ignore a membership that is older than the replica's own

A voter that has just joined can discard its log. Cause: the leader publishes its membership on the links that other nodes opened, and replicates the log on the links that it opened itself. A membership from before the join, held up on its link, arrives after the join is in the log, names the same term and lacks the replica, which takes itself for removed. Evidence: log_node_test::late_membership_makes_a_new_voter_discard_its_log failed before ("replica_removed", another id). Change: the membership comes with the commit index at which it held. Within a term a replica ignores one that is older than the membership in its own log. A later term needs no check: its leader has committed an entry of its own, so what an earlier leader committed is in it. Index 0 means that the sender does not tell (older builds), and counts as before.

--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -240,6 +240,11 @@
     return core_->log.members();
 }
 
+log_position replica::members_position() const {
+    const auto index = core_->log.members_index();
+    return {.index = index, .term = core_->log.term_at(index)};
+}
+
 const membership& replica::committed_members() const {
     return core_->log.members_at(core_->commit);
 }
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -174,6 +174,8 @@
     replica_status status() const;
     // Membership as of the end of the log.
     const membership& members() const;
+    // Position of the log entry or snapshot that contains `members()`.
+    log_position members_position() const;
     // Membership that no later leader can lack.
     const membership& committed_members() const;
     replica_role role() const;
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -276,7 +276,7 @@
         return;
     for (const auto& member : directory->members)
         links_->connect(member.node);
-    log_->observe_members(directory->term, directory->members);
+    log_->observe_members(directory->term, directory->commit_index, directory->members);
 }
 
 void job_control::apply(const consensus::entry& entry) {
@@ -424,8 +424,10 @@
         directory.leader = router_->confirmed_leader();
         directory.term = router_->leader_term();
     }
-    if (serving)
+    if (serving) {
         directory.members = log_->committed_members().members;
+        directory.commit_index = log_->commit_index();
+    }
     directory_published_at_ = clock_.now();
     router_->observe(settings_.link_address, directory);
     links_->broadcast(directory);
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -151,9 +151,15 @@
         join_requests_[node] = id;
 }
 
-void log_node::observe_members(std::uint64_t term, const std::vector<consensus::member>& members) {
+void log_node::observe_members(std::uint64_t term, consensus::index_t commit_index,
+                               const std::vector<consensus::member>& members) {
     if (failed_ || term < core_->term() || members.empty())
         return;
+    // Messages on several connections can overtake each other. An own membership of an earlier term
+    // is either committed, and then older, or was never committed.
+    const auto own = core_->members_position();
+    if (commit_index != 0 && own.term == term && commit_index < own.index)
+        return;
     if (std::ranges::find(members, id_, &consensus::member::id) != members.end()) {
         was_member_ = true;
         return;
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -71,9 +71,10 @@
     consensus::propose_result propose(std::string data);
     // Handles a node's request to make its replica id a voter, replacing its older ids.
     void request_join(const std::string& node, consensus::replica_id id);
-    // Handles a membership published by the leader. A replica that was removed from it rejoins
-    // under a new id.
-    void observe_members(std::uint64_t term, const std::vector<consensus::member>& members);
+    // Handles the membership that the leader of a term had committed at an index (0 if unknown). A
+    // replica that was removed from it rejoins under a new id.
+    void observe_members(std::uint64_t term, consensus::index_t commit_index,
+                         const std::vector<consensus::member>& members);
     // Transfers leadership to another voter, if this replica leads.
     void transfer_leadership();
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -518,6 +518,7 @@
     auto out = root.initDirectory();
     out.setLeader(value.leader);
     out.setTerm(value.term);
+    out.setCommitIndex(value.commit_index);
     auto members = out.initMembers(schema_list_size(value.members));
     for (unsigned i = 0; i < members.size(); ++i) {
         members[i].setId(value.members[i].id);
@@ -530,6 +531,7 @@
     directory out;
     out.leader = from_text(in.getLeader());
     out.term = in.getTerm();
+    out.commit_index = in.getCommitIndex();
     for (const auto item : in.getMembers())
         out.members.push_back({item.getId(), from_text(item.getNode()), item.getVoter()});
     return out;
--- a/src/wire/messages.capnp
+++ b/src/wire/messages.capnp
@@ -305,6 +305,7 @@
   leader @0 :Text;
   term @1 :UInt64;
   members @2 :List(DirectoryMember);
+  commitIndex @3 :UInt64;
 }
 
 struct DirectoryMember {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -155,7 +155,8 @@
 struct directory {
     std::string leader; // node name of the leader, empty if unknown
     std::uint64_t term = 0;
-    std::vector<consensus::member> members;
+    std::vector<consensus::member> members; // the committed membership, sent by the leader only
+    consensus::index_t commit_index = 0;    // of `members`; 0 if the sender does not tell
 };
 
 using message = std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state,
--- a/tests/control/log_node_test.cpp
+++ b/tests/control/log_node_test.cpp
@@ -120,6 +120,7 @@
     CPPUNIT_TEST(leader_serves_nothing_until_a_commit_is_applied);
     CPPUNIT_TEST(leader_with_a_stalled_disk_keeps_the_leadership);
     CPPUNIT_TEST(membership_is_published_before_it_is_committed);
+    CPPUNIT_TEST(late_membership_makes_a_new_voter_discard_its_log);
     CPPUNIT_TEST_SUITE_END();
 
     struct replica {
@@ -309,6 +310,30 @@
             [&] { return leading.log->committed_members().find(new_id) != nullptr; }, 200));
     }
 
+    // A membership from before the join came late, on another connection than the log. The new
+    // voter took itself for removed and discarded entries that it had acknowledged.
+    void late_membership_makes_a_new_voter_discard_its_log() {
+        auto& leading = elect_leader();
+        const auto term = leading.log->term();
+        const auto before = leading.log->committed_members().members;
+        const auto before_index = leading.log->commit_index();
+        start("d", 4);
+        auto& joined = *replicas_.at("d").log;
+        const auto id = joined.id();
+        CPPUNIT_ASSERT(wait_for(
+            [&] {
+                leading.log->request_join("d", id);
+                return joined.is_voter();
+            },
+            2'000));
+        joined.observe_members(term, before_index, before);
+        run_for(200);
+        CPPUNIT_ASSERT_EQUAL(id, joined.id());
+        // A later one removes it.
+        joined.observe_members(term, joined.commit_index() + 1, before);
+        CPPUNIT_ASSERT(wait_for([&] { return joined.id() != id; }, 200));
+    }
+
     // Heartbeats do not wait for writes, but a leader whose disk hangs must not go on sending them.
     void leader_with_a_stalled_disk_keeps_the_leadership() {
         auto& stalled = elect_leader();
