--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -114,6 +114,10 @@
             round_trip(core::message{1, 2, 3, core::snapshot_reply{4, 5, true, 6}});
         CPPUNIT_ASSERT(std::get<core::snapshot_reply>(installed_message.body).installed);
         round_trip(core::message{1, 2, 3, core::timeout_now{}});
+        const auto members = round_trip(
+            directory{.leader = "n1", .term = 4, .members = {{7, "n2", true}}, .commit_index = 9});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, members.commit_index);
+        CPPUNIT_ASSERT(members.members == (std::vector<core::member>{{7, "n2", true}}));
     }
 
     void keeps_claim_fields() {
