Give the start test of the platform's programs an address of its own

Cause: 47610 is one of the ports from which other programs connect, and their connections come from 127.0.0.1. Evidence: with a connection open from 127.0.0.1:47610 the test fails with the same message; with 127.58.0.1 it passes. Change: the programs of this test listen on 127.58.0.1. Its checks are the same.

--- a/tests/users_platform/process_test.cpp
+++ b/tests/users_platform/process_test.cpp
@@ -21,12 +21,14 @@
     CPPUNIT_TEST(signal_while_the_settings_are_read_ends_entryd);
     CPPUNIT_TEST_SUITE_END();
 
+    // An address of its own: outgoing connections of other tests take any port of 127.0.0.1.
     static std::string settings(const std::string& folder, bool control) {
         const std::string own_addresses =
-            control ? R"({"Control":"127.0.0.1:47630"},"DataDir":")" + folder + R"(/data")"
-                    : R"({"Front":"127.0.0.1:47631","Ready":"127.0.0.1:47632"})";
-        return R"({"Node":"node-1","Ip":"127.0.0.1","Zone":"z","InternalPortRange":[47610,47620],)"
-               R"("Seeds":["127.0.0.1:47630"],"Bootstrap":true,"FaultTolerance":{"Machines":0},)"
+            control ? R"({"Control":"127.58.0.1:47630"},"DataDir":")" + folder + R"(/data")"
+                    : R"({"Front":"127.58.0.1:47631","Ready":"127.58.0.1:47632"})";
+        return R"({"Node":"node-1","Ip":"127.58.0.1","Zone":"z",)"
+               R"("InternalPortRange":[47610,47620],)"
+               R"("Seeds":["127.58.0.1:47630"],"Bootstrap":true,"FaultTolerance":{"Machines":0},)"
                R"("Bounds":{"GraceS":6,"StopMs":400,"LeaseMs":3000},"ListenAddrs":)" +
                own_addresses + "}";
     }
