Release the stop check of a control node when it ends

No caller is affected; the process ends. Cause: the check held itself, and was to be released by work posted to the loop; the callback stops the loop first. Change: the check is owned by the handler that waits for the timer, and refers to itself weakly. Measured: under ASan test_users_platform failed before and passes now, 14 of 14 twice.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -197,16 +197,17 @@
     const auto deadline = clock_.now() + leadership_transfer_timeout;
     auto timer = std::make_shared<asio::steady_timer>(loop_);
     // Sends the replies to pending commands while leadership is transferred.
+    // Owned by the handler that waits for the timer.
     auto check = std::make_shared<std::function<void()>>();
-    *check = [this, timer, check, deadline, stopped = std::move(stopped)] {
+    *check = [this, timer, weak_check = std::weak_ptr(check), deadline,
+              stopped = std::move(stopped)] {
         const bool leads = log_->role() == consensus::replica_role::leader;
         if ((!leads && pending_commands_.empty()) || clock_.now() >= deadline) {
             stop();
-            asio::post(loop_, [check] { *check = nullptr; });
             return stopped();
         }
         timer->expires_after(std::chrono::milliseconds(transfer_check_interval));
-        timer->async_wait([check](boost::system::error_code) { (*check)(); });
+        timer->async_wait([check = weak_check.lock()](boost::system::error_code) { (*check)(); });
     };
     timer->expires_after(std::chrono::milliseconds(transfer_check_interval * 10));
     timer->async_wait([check](boost::system::error_code) { (*check)(); });
