--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 SEED ?= 1
 SECONDS_LIMIT ?= 20
 SECONDS ?= $(SECONDS_LIMIT)
+# Objects are shared between checkouts and survive a clean build. Paths in them are relative.
+export CMAKE_CXX_COMPILER_LAUNCHER ?= ccache
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= 1
 
 .PHONY: all deps build test lint format sanitize bench bench-time soak process-soak demo generate clean
 
