Reserve descriptors for the log; a damaged founder and stale joins

Cause: sockets to 1,100 workers took all descriptors, the log could not begin its next segment and the leading control node ended. Found by reading: a founder with a damaged disk was set up under its old id if first-start was given again, and a node that had asked to join once was admitted long after it was gone. Change: posix_file_system holds eight descriptors and gives one up when open fails for want of them; a damaged folder is never set up as a founder's; join requests expire after 1.5 s.

--- a/src/consensus/posix_files.cpp
+++ b/src/consensus/posix_files.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <fcntl.h>
 #include <filesystem>
+#include <mutex>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <system_error>
@@ -17,6 +18,9 @@
 
 constexpr mode_t folder_mode = 0700;
 constexpr mode_t file_mode = 0600;
+// A write opens at most two files and their folder at the same time; further ones are for the
+// folder listing and for descriptors that other threads take meanwhile.
+constexpr std::size_t reserved_descriptors = 8;
 
 leaf::error_id make_io_error(const char* operation, const std::string& path, int code) {
     return leaf::new_error(io_error{.operation = operation,
@@ -43,13 +47,50 @@
     int number_;
 };
 
-leaf::result<descriptor> open_descriptor(const std::string& path, int flags) {
-    const int number = ::open(path.c_str(), flags | O_CLOEXEC, file_mode);
-    if (number < 0)
-        return make_io_error("open", path, errno);
-    return descriptor(number);
+bool is_out_of_descriptors(int code) {
+    return code == EMFILE || code == ENFILE;
 }
 
+} // namespace
+
+// Descriptors kept open so that the storage can open files while sockets have taken all others.
+class descriptor_reserve {
+  public:
+    descriptor_reserve() { refill(); }
+
+    leaf::result<descriptor> open(const std::string& path, int flags) {
+        for (;;) {
+            const int number = ::open(path.c_str(), flags | O_CLOEXEC, file_mode);
+            const int code = errno;
+            if (number >= 0) {
+                refill();
+                return descriptor(number);
+            }
+            // Another thread may take the descriptor that this frees, so one may not be enough.
+            std::lock_guard lock(mutex_);
+            if (!is_out_of_descriptors(code) || held_.empty())
+                return make_io_error("open", path, code);
+            held_.pop_back();
+        }
+    }
+
+  private:
+    void refill() {
+        std::lock_guard lock(mutex_);
+        while (held_.size() < reserved_descriptors) {
+            const int number = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+            if (number < 0)
+                return; // again with the next file
+            held_.emplace_back(number);
+        }
+    }
+
+    std::mutex mutex_;
+    std::vector<descriptor> held_;
+};
+
+namespace {
+
 class posix_file final : public file {
   public:
     posix_file(descriptor opened, std::string path)
@@ -104,6 +145,9 @@
 
 } // namespace
 
+posix_file_system::posix_file_system() : reserve_(std::make_unique<descriptor_reserve>()) {}
+posix_file_system::~posix_file_system() = default;
+
 leaf::result<void> posix_file_system::make_folder(const std::string& path) {
     if (::mkdir(path.c_str(), folder_mode) != 0 && errno != EEXIST)
         return make_io_error("mkdir", path, errno);
@@ -125,7 +169,7 @@
 }
 
 leaf::result<std::unique_ptr<file_lock>> posix_file_system::lock(const std::string& path) {
-    BOOST_LEAF_AUTO(opened, open_descriptor(path, O_RDWR | O_CREAT));
+    BOOST_LEAF_AUTO(opened, reserve_->open(path, O_RDWR | O_CREAT));
     if (::flock(opened.number(), LOCK_EX | LOCK_NB) != 0) {
         if (errno == EWOULDBLOCK)
             return std::unique_ptr<file_lock>();
@@ -135,12 +179,12 @@
 }
 
 leaf::result<std::unique_ptr<file>> posix_file_system::open(const std::string& path) {
-    BOOST_LEAF_AUTO(opened, open_descriptor(path, O_RDWR | O_APPEND));
+    BOOST_LEAF_AUTO(opened, reserve_->open(path, O_RDWR | O_APPEND));
     return std::unique_ptr<file>(std::make_unique<posix_file>(std::move(opened), path));
 }
 
 leaf::result<std::unique_ptr<file>> posix_file_system::create(const std::string& path) {
-    BOOST_LEAF_AUTO(opened, open_descriptor(path, O_RDWR | O_APPEND | O_CREAT | O_TRUNC));
+    BOOST_LEAF_AUTO(opened, reserve_->open(path, O_RDWR | O_APPEND | O_CREAT | O_TRUNC));
     return std::unique_ptr<file>(std::make_unique<posix_file>(std::move(opened), path));
 }
 
@@ -157,7 +201,7 @@
 }
 
 leaf::result<void> posix_file_system::sync_folder(const std::string& folder) {
-    BOOST_LEAF_AUTO(opened, open_descriptor(folder, O_RDONLY | O_DIRECTORY));
+    BOOST_LEAF_AUTO(opened, reserve_->open(folder, O_RDONLY | O_DIRECTORY));
     if (::fsync(opened.number()) != 0)
         return make_io_error("fsync", folder, errno);
     return {};
--- a/src/control/log_node.cpp
+++ b/src/control/log_node.cpp
@@ -31,6 +31,10 @@
 // must be replaced within 4 s of its successor's start.
 constexpr time_ms replaced_voter_timeout{1'500};
 
+// A node repeats its request every 200 ms. One that has not done so is gone, and as a voter it
+// would be one more loss.
+constexpr time_ms join_request_expiry{1'500};
+
 } // namespace
 
 log_node::log_node(asio::io_context& loop, log_node_settings settings,
@@ -148,7 +152,7 @@
 
 void log_node::request_join(const std::string& node, consensus::replica_id id) {
     if (core_->role() == consensus::replica_role::leader)
-        join_requests_[node] = id;
+        join_requests_[node] = {id, clock_.now()};
 }
 
 void log_node::observe_members(std::uint64_t term, consensus::index_t commit_index,
@@ -346,8 +350,12 @@
     }
     std::erase_if(silent_since_,
                   [&](const auto& item) { return !status.membership.find(item.first); });
+    std::erase_if(join_requests_, [this](const auto& item) {
+        return clock_.now() - item.second.received_at > join_request_expiry;
+    });
     for (auto it = join_requests_.begin(); it != join_requests_.end();) {
-        const auto& [node, id] = *it;
+        const auto& node = it->first;
+        const auto id = it->second.id;
         if (replace_old_id(node, id))
             return;
         const auto* known = status.membership.find(id);
--- a/src/control/log_node.h
+++ b/src/control/log_node.h
@@ -91,6 +91,8 @@
     const consensus::membership& committed_members() const { return core_->committed_members(); }
     bool is_voter() const { return core_->members().is_voter(id_); }
     consensus::index_t commit_index() const { return core_->commit_index(); }
+    // Index of the last entry whose effect the state machine shows.
+    consensus::index_t applied_index() const { return applied_; }
 
   private:
     std::string open_storage(consensus::durable_state& durable);
@@ -132,7 +134,11 @@
     bool rejoin_due_ = false;
     bool writing_ = false; // a write is pending on the disk thread
     time_ms writing_since_{0};
-    std::map<std::string, consensus::replica_id> join_requests_; // node -> id
+    struct join_request {
+        consensus::replica_id id = 0;
+        time_ms received_at{0};
+    };
+    std::map<std::string, join_request> join_requests_; // by node
     // Replica id -> node, from received messages.
     std::map<consensus::replica_id, std::string> sender_nodes_;
     std::map<consensus::replica_id, time_ms> silent_since_; // members that are silent; leader only
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -83,17 +83,18 @@
         log_event(log_level::error, "data_folder_damaged")
             .field("reason", report.reason)
             .field("answer", "this replica rejoins under a new id");
-        return initialize_storage(durable);
+        // Under its old id it could vote again in a term in which it has voted.
+        return initialize_storage(durable, false);
     case consensus::storage_status::empty:
-        return initialize_storage(durable);
+        return initialize_storage(durable, settings_.first_start);
     default:
         return settings_.folder + ": " + std::string(to_name(report.status)) + ": " + report.reason;
     }
 }
 
-std::string replica_host::initialize_storage(consensus::durable_state& durable) {
+std::string replica_host::initialize_storage(consensus::durable_state& durable, bool may_found) {
     const auto position = std::ranges::find(settings_.replicas, settings_.node);
-    if (settings_.first_start && position != settings_.replicas.end()) {
+    if (may_found && position != settings_.replicas.end()) {
         id_ = static_cast<consensus::replica_id>(position - settings_.replicas.begin()) + 1;
         durable.snap = consensus::bootstrap_snapshot(initial_membership(settings_.replicas));
         durable.state.term = durable.snap.term;
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -117,7 +117,7 @@
     };
 
     std::string open_storage(consensus::durable_state& durable);
-    std::string initialize_storage(consensus::durable_state& durable);
+    std::string initialize_storage(consensus::durable_state& durable, bool may_found);
     void post(task work);
     void run();
     void handle_ready();
--- a/tests/consensus/storage_test.cpp
+++ b/tests/consensus/storage_test.cpp
@@ -3,6 +3,7 @@
 #include "consensus/records.h"
 #include "consensus/storage.h"
 #include "soak/fake_files.h"
+#include "support/descriptor_shortage.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -47,6 +48,7 @@
 class storage_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(storage_test);
     CPPUNIT_TEST(posix_folder_survives_a_restart);
+    CPPUNIT_TEST(sockets_that_take_all_descriptors_fail_the_log);
     CPPUNIT_TEST(new_folder_is_lost_with_the_power);
     CPPUNIT_TEST(folder_lock_excludes_a_second_storage);
     CPPUNIT_TEST(empty_and_foreign_folders_have_no_identity);
@@ -134,6 +136,36 @@
 
     // Its name was never synced in the folder above, so that a loss of power could take the whole
     // log.
+    // Sockets to a thousand workers had taken all descriptors when the log began its next segment,
+    // and the leading control node ended.
+    void sockets_that_take_all_descriptors_fail_the_log() {
+        const auto folder = std::filesystem::temp_directory_path() /
+                            ("clementine-descriptors-" + std::to_string(::getpid()));
+        std::filesystem::remove_all(folder);
+        posix_file_system files;
+        {
+            storage target(files, {folder.string(), "test", 200});
+            CPPUNIT_ASSERT(target.open().status == storage_status::empty);
+            CPPUNIT_ASSERT(!target.set_up(1, first_snapshot()));
+            descriptor_shortage shortage;
+            for (index_t i = 2; i <= 40; ++i) {
+                auto work = make_entries(i, i, 1);
+                if (i % 10 == 0) {
+                    work.snap = snapshot{.index = i - 1, .term = 1, .membership = {}, .data = "s"};
+                    work.snap->membership = first_snapshot().membership;
+                    work.first_kept = i - 1;
+                }
+                const auto problem = target.save(work);
+                CPPUNIT_ASSERT_MESSAGE(problem ? problem->reason : "", !problem);
+            }
+        }
+        storage reopened(files, {folder.string(), "test", 200});
+        const auto report = reopened.open();
+        CPPUNIT_ASSERT(report.status == storage_status::ready);
+        CPPUNIT_ASSERT_EQUAL(index_t{40}, report.state.entries.back().index);
+        std::filesystem::remove_all(folder);
+    }
+
     void new_folder_is_lost_with_the_power() {
         char name[] = "/tmp/clementine-storage-XXXXXX";
         CPPUNIT_ASSERT(::mkdtemp(name) != nullptr);
--- a/tests/control/log_node_test.cpp
+++ b/tests/control/log_node_test.cpp
@@ -121,6 +121,7 @@
     CPPUNIT_TEST(leader_with_a_stalled_disk_keeps_the_leadership);
     CPPUNIT_TEST(membership_is_published_before_it_is_committed);
     CPPUNIT_TEST(late_membership_makes_a_new_voter_discard_its_log);
+    CPPUNIT_TEST(node_that_no_longer_asks_to_join_is_admitted);
     CPPUNIT_TEST_SUITE_END();
 
     struct replica {
@@ -128,12 +129,14 @@
         std::unique_ptr<log_node> log;
         std::vector<std::string> applied;
         std::size_t received_entries = 0; // in messages from the leader
+        bool cut_off = false;
     };
 
     boost::asio::io_context loop_{1};
     // Advances with each pass of the loop, so that a busy machine delays nothing.
     manual_clock clock_{1'000};
     std::map<std::string, replica> replicas_;
+    std::size_t max_voters_ = 5;
 
     void start(const std::string& name, std::uint64_t seed) {
         const auto folder = std::string(TEST_DATA_FOLDER) + "/log-node-" + name;
@@ -146,10 +149,14 @@
         settings.founders = {"a", "b", "c"};
         settings.first_start = true;
         settings.seed = seed;
+        settings.max_voters = max_voters_;
         log_node::callbacks callbacks;
         callbacks.send = [this, name](const std::string& to, const consensus::message& value) {
             boost::asio::post(loop_, [this, name, to, value] {
-                auto& target = replicas_.at(to);
+                const auto found = replicas_.find(to);
+                if (found == replicas_.end() || found->second.cut_off || replicas_.at(name).cut_off)
+                    return;
+                auto& target = found->second;
                 if (const auto* append = std::get_if<consensus::append_request>(&value.body))
                     target.received_entries += append->entries.size();
                 target.log->receive(name, value);
@@ -346,6 +353,28 @@
             },
             4'000));
     }
+
+    // A spare asked to join once and was gone when a voter was lost much later. Admitted then, it
+    // was a second voter that never answered.
+    void node_that_no_longer_asks_to_join_is_admitted() {
+        tearDown();
+        replicas_.clear();
+        loop_.restart();
+        max_voters_ = 3;
+        setUp();
+        auto& leading = elect_leader();
+        leading.log->request_join("d", 77);
+        run_for(3'000);
+        for (auto& [name, item] : replicas_) {
+            if (&item == &leading)
+                continue;
+            item.cut_off = true;
+            break;
+        }
+        run_for(4'000);
+        const auto& members = leading.log->committed_members().members;
+        CPPUNIT_ASSERT(std::ranges::find(members, "d", &consensus::member::node) == members.end());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(log_node_test);
