--- a/src/control/cluster_links.cpp
+++ b/src/control/cluster_links.cpp
@@ -3,6 +3,8 @@
 #include "base/log.h"
 #include "control/endpoint.h"
 #include "control/limits.h"
+#include "wire/codec.h"
+#include "wire/frame.h"
 
 #include <boost/asio/post.hpp>
 
@@ -25,8 +27,10 @@
 
 } // namespace
 
-cluster_links::cluster_links(asio::io_context& loop, wire::hello self, callbacks handlers)
-    : loop_(loop), self_(std::move(self)), handlers_(std::move(handlers)) {}
+cluster_links::cluster_links(asio::io_context& loop, wire::hello self, callbacks handlers,
+                             std::size_t max_incoming)
+    : loop_(loop), self_(std::move(self)), handlers_(std::move(handlers)),
+      max_incoming_(max_incoming) {}
 
 std::string cluster_links::listen(const std::string& address) {
     const auto endpoint = parse_tcp_endpoint(address);
@@ -46,7 +50,10 @@
     };
     server_handlers.closed = [this](const std::shared_ptr<wire::connection>& peer,
                                     const wire::close_info&) { incoming_.erase(peer); };
-    server_ = std::make_shared<wire::channel_server>(loop_, self_, link_limits, server_handlers);
+    auto incoming_limits = link_limits;
+    incoming_limits.max_connections = max_incoming_;
+    server_ =
+        std::make_shared<wire::channel_server>(loop_, self_, incoming_limits, server_handlers);
     return server_->listen(*endpoint);
 }
 
@@ -105,8 +112,11 @@
 }
 
 void cluster_links::broadcast(const wire::message& value) {
+    const auto frame = wire::make_frame(wire::encode(value));
+    if (!frame)
+        return;
     for (const auto& peer : incoming_)
-        peer->send(value);
+        peer->send_frame(*frame);
 }
 
 void cluster_links::stop() {
--- a/src/control/cluster_links.h
+++ b/src/control/cluster_links.h
@@ -26,7 +26,9 @@
         std::function<void(const std::string& node)> closed;
     };
 
-    cluster_links(boost::asio::io_context& loop, wire::hello self, callbacks handlers);
+    // At most `max_incoming` links of peers are accepted.
+    cluster_links(boost::asio::io_context& loop, wire::hello self, callbacks handlers,
+                  std::size_t max_incoming = wire::link_settings{}.max_connections);
     cluster_links(const cluster_links&) = delete;
     cluster_links& operator=(const cluster_links&) = delete;
     ~cluster_links() = default;
@@ -42,12 +44,15 @@
     bool any_open() const;
     // Sends to every peer with an incoming link.
     void broadcast(const wire::message& value);
+    // Number of peers with an incoming link.
+    std::size_t incoming() const { return incoming_.size(); }
     void stop();
 
   private:
     boost::asio::io_context& loop_;
     wire::hello self_;
     callbacks handlers_;
+    std::size_t max_incoming_;
     std::map<std::string, std::shared_ptr<wire::channel>> outgoing_;
     std::shared_ptr<wire::channel_server> server_;
     std::set<std::shared_ptr<wire::connection>> incoming_;
--- a/src/control/http_pool.cpp
+++ b/src/control/http_pool.cpp
@@ -1,5 +1,7 @@
 #include "control/http_pool.h"
 
+#include "base/log.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -29,6 +31,8 @@
 constexpr time_ms max_own_delay{5'000};
 // Interval at which such an answer is looked for again.
 constexpr time_ms overdue_check_interval{20};
+// Pause after the process found no descriptor left for a connection.
+constexpr time_ms no_descriptor_pause{50};
 
 std::string to_host_header(const asio::ip::tcp::endpoint& endpoint) {
     return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
@@ -45,13 +49,25 @@
 // workers, these exchanges take most of the leader's CPU time.
 class http_pool::connection : public std::enable_shared_from_this<http_pool::connection> {
   public:
+    // Counts towards the limit of the pool, if it has one, until it is closed.
     connection(asio::io_context& loop, std::shared_ptr<http_pool> pool)
-        : socket_(loop.get_executor()), pool_(std::move(pool)),
+        : socket_(loop.get_executor()), pool_(std::move(pool)), open_connections_(pool_->limit_),
           host_header_(to_host_header(pool_->target_)) {}
+    connection(const connection&) = delete;
+    connection& operator=(const connection&) = delete;
+    ~connection() { stop(); }
+
+    // Returns false if the process has no descriptor left.
+    bool open_socket() {
+        boost::system::error_code error;
+        socket_.open(pool_->target_.protocol(), error);
+        return !error;
+    }
 
     bool busy() const { return static_cast<bool>(done_); }
     bool closed() const { return closed_; }
     time_ms deadline() const { return deadline_; }
+    time_ms idle_since() const { return result_.received_at; } // if not busy
 
     void send(queued_request item) {
         done_ = std::move(item.done);
@@ -73,9 +89,12 @@
     }
 
     void stop() {
-        closed_ = true;
+        if (std::exchange(closed_, true))
+            return;
         boost::system::error_code ignored;
         socket_.close(ignored);
+        if (open_connections_)
+            open_connections_->release();
     }
 
     // Closes the connection if the server was silent until the deadline. An event that this process
@@ -190,6 +209,9 @@
     void fail(call_failure reason) {
         result_.failure = pool_->stopped_ ? call_failure::stopped : reason;
         stop();
+        // The server has ended, or has closed the others as well.
+        if (reason == call_failure::not_sent || reason == call_failure::connection_lost)
+            pool_->close_idle(pool_->clock_.now());
         finish();
     }
 
@@ -203,6 +225,7 @@
 
     asio::basic_stream_socket<asio::ip::tcp, asio::io_context::executor_type> socket_;
     std::shared_ptr<http_pool> pool_;
+    std::shared_ptr<connection_limit> open_connections_; // counts this one; may be null
     std::string host_header_;
     beast::flat_buffer buffer_;
     std::string request_bytes_; // of the current request
@@ -220,9 +243,11 @@
 };
 
 http_pool::http_pool(asio::io_context& loop, const clock_source& clock,
-                     asio::ip::tcp::endpoint target, std::size_t max_connections)
+                     asio::ip::tcp::endpoint target, std::size_t max_connections,
+                     std::shared_ptr<connection_limit> limit)
     : loop_(loop), clock_(clock), target_(std::move(target)), max_connections_(max_connections),
-      deadline_timer_(loop.get_executor()) {}
+      limit_(std::move(limit)), deadline_timer_(loop.get_executor()),
+      retry_timer_(loop.get_executor()) {}
 
 http_pool::~http_pool() = default;
 
@@ -242,19 +267,85 @@
     while (!queue_.empty() && !stopped_) {
         auto idle = std::ranges::find_if(
             connections_, [](const auto& item) { return !item->busy() && !item->closed(); });
-        if (idle == connections_.end()) {
-            if (connections_.size() >= max_connections_)
-                return;
-            connections_.push_back(std::make_shared<connection>(loop_, shared_from_this()));
-            idle = connections_.end() - 1;
-        }
+        const auto chosen = idle != connections_.end() ? *idle : open_connection();
+        if (!chosen)
+            break;
         auto item = std::move(queue_.front());
         queue_.pop_front();
-        (*idle)->send(std::move(item));
+        chosen->send(std::move(item));
     }
     arm_deadline_timer();
 }
 
+// Returns nullptr if no further connection is possible now; `dispatch` is called again then.
+std::shared_ptr<http_pool::connection> http_pool::open_connection() {
+    if (connections_.size() >= max_connections_)
+        return nullptr; // continues when a request ends
+    if (limit_ && !limit_->try_acquire()) {
+        wait_for_connection();
+        return nullptr;
+    }
+    auto added = std::make_shared<connection>(loop_, shared_from_this());
+    if (!added->open_socket()) {
+        retry_without_descriptors();
+        return nullptr;
+    }
+    connections_.push_back(added);
+    return added;
+}
+
+void http_pool::wait_for_connection() {
+    if (std::exchange(waiting_for_limit_, true))
+        return;
+    const bool lease = std::ranges::any_of(
+        queue_, [](const auto& item) { return item.call.kind == urgency::lease; });
+    // Posted, because a connection may be released while another pool dispatches.
+    limit_->wait(lease ? urgency::lease : urgency::start,
+                 [&loop = loop_, weak_self = weak_from_this(), limit = limit_] {
+                     asio::post(loop, [weak_self, limit] {
+                         if (const auto self = weak_self.lock()) {
+                             self->waiting_for_limit_ = false;
+                             self->dispatch();
+                         }
+                         limit->skip_turn();
+                     });
+                 });
+}
+
+// Other users of descriptors may have taken more than their share. The requests stay in the queue:
+// their failure would say that the server is gone.
+void http_pool::retry_without_descriptors() {
+    log_event(log_level::warning, "no_descriptor_left")
+        .field("target", to_host_header(target_))
+        .field("waiting", std::uint64_t{queue_.size()});
+    retry_timer_.expires_after(std::chrono::milliseconds(no_descriptor_pause));
+    retry_timer_.async_wait([weak_self = weak_from_this()](boost::system::error_code error) {
+        const auto self = weak_self.lock();
+        if (self && !error && !self->stopped_)
+            self->dispatch();
+    });
+}
+
+std::size_t http_pool::idle_connections() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        connections_, [](const auto& item) { return !item->busy() && !item->closed(); }));
+}
+
+std::size_t http_pool::close_idle(time_ms unused_since, std::size_t count) {
+    std::size_t closed = 0;
+    // A copy, because releasing a connection may dispatch.
+    for (const auto& item : std::vector(connections_)) {
+        if (closed == count)
+            break;
+        if (item->busy() || item->closed() || item->idle_since() > unused_since)
+            continue;
+        item->stop();
+        ++closed;
+    }
+    std::erase_if(connections_, [](const auto& item) { return item->closed() && !item->busy(); });
+    return closed;
+}
+
 // Rearms the timer only if a new request has an earlier deadline.
 void http_pool::arm_deadline_timer() {
     std::optional<time_ms> next;
@@ -283,6 +374,7 @@
     if (std::exchange(stopped_, true))
         return;
     deadline_timer_.cancel();
+    retry_timer_.cancel();
     for (const auto& item : connections_)
         item->stop();
     for (auto& item : std::exchange(queue_, {})) {
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -38,21 +38,26 @@
 constexpr time_ms flush_delay_many_workers{5};
 constexpr time_ms flush_retry_delay{20};
 constexpr time_ms directory_interval{150};
+// With many entry nodes, whose links of 2 Mbit/s carry the announcements of all control nodes. A
+// change is announced at once; an entry node takes the leader for lost after 1.5 s.
+constexpr time_ms directory_interval_many_links{300};
+constexpr std::size_t many_links = 60;
 constexpr time_ms join_request_interval{200};
-// Workers and the platform answer within a few ms; unanswered orders are sent again after this
-// time.
+// The platform answers within a few ms; unanswered orders are sent again after this time.
 constexpr time_ms order_timeout{400};
-// A hold order must be answered within its own wait time plus this margin.
-constexpr time_ms hold_timeout_margin{600};
+// An order for the leader is not sent any more if it waited here for this long.
+constexpr time_ms max_relay_wait{1'000};
+constexpr std::size_t max_batch_ages = 64;
 // Below the 1,000 ms after which operators and workers try another node.
 constexpr route_limits control_route_limits{.timeout = 900, .leader_wait = 700};
 constexpr time_ms leadership_transfer_timeout{1'200};
 constexpr time_ms transfer_check_interval{20};
-// Connections to a worker are closed when unused for this long.
-constexpr time_ms worker_pool_expiry{15'000};
-// Parallel orders to one worker, so that an unanswered one does not block the others.
-constexpr std::size_t max_order_connections = 4;
-constexpr std::size_t max_control_connections = 1'500;
+// Parallel calls to the platform, so that an unanswered one does not block the others.
+constexpr std::size_t max_platform_connections = 4;
+// Of the connections that are not links: metrics readers.
+constexpr std::size_t max_admin_connections = 16;
+// Of the links: those that this node opens.
+constexpr std::size_t max_outgoing_links = 32;
 
 // Number of voters if there are enough nodes, so that overlapping losses are tolerated.
 constexpr std::size_t preferred_voters = 5;
@@ -90,8 +95,26 @@
                          const fleet_protocol& protocol, consensus::file_system& files,
                          const clock_source& clock, std::function<void(const std::string&)> failed)
     : loop_(loop), settings_(std::move(settings)), protocol_(protocol), clock_(clock),
-      failed_(std::move(failed)), controller_(table_, settings_.decisions), flush_timer_(loop),
-      tick_timer_(loop), round_timer_(loop) {
+      failed_(std::move(failed)), controller_(table_, settings_.decisions),
+      descriptors_(plan_descriptors(settings_.max_open_files > 0 ? settings_.max_open_files
+                                                                 : open_file_limit())),
+      exchange_(loop, clock, protocol, settings_.node,
+                descriptors_.workers - max_platform_connections - 1),
+      relays_(
+          {.send = [this](const std::string& node,
+                          const wire::order_batch& batch) { return links_->send(node, batch); },
+           .done =
+               [this](const order& value, const order_result& result, time_ms sent_at,
+                      time_ms received_at) { queue_result(value, result, sent_at, received_at); }}),
+      reads_({.answer = [this](const wire::call& request,
+                               const reply_handler& reply) { answer_query(request, reply); },
+              .decline =
+                  [](const wire::call& request, const reply_handler& reply) {
+                      wire::call_reply declined;
+                      declined.id = request.id;
+                      reply(declined);
+                  }}),
+      flush_timer_(loop), tick_timer_(loop), round_timer_(loop) {
     create_links();
     log_node_settings log;
     log.node = settings_.link_address;
@@ -135,8 +158,12 @@
         handle_outgoing_link(node, std::move(value));
     };
     callbacks.opened = [this](const std::string& node) { router_->observe_opened(node); };
-    callbacks.closed = [this](const std::string& node) { router_->observe_closed(node); };
-    links_ = std::make_unique<cluster_links>(loop_, std::move(self), std::move(callbacks));
+    callbacks.closed = [this](const std::string& node) {
+        router_->observe_closed(node);
+        relays_.observe_closed(node, clock_.now());
+    };
+    links_ = std::make_unique<cluster_links>(loop_, std::move(self), std::move(callbacks),
+                                             descriptors_.links - max_outgoing_links);
     router_ = std::make_unique<leader_router>(
         loop_, clock_, *links_, [this](const wire::call& request, const reply_handler& reply) {
             return handle_call(request, reply);
@@ -152,8 +179,9 @@
     for (const auto& seed : settings_.seeds)
         links_->connect(seed);
     if (!settings_.vm_api_address.empty())
-        vm_api_ = std::make_shared<http_pool>(
-            loop_, clock_, checked_tcp_endpoint(settings_.vm_api_address), max_order_connections);
+        vm_api_ = std::make_shared<http_pool>(loop_, clock_,
+                                              checked_tcp_endpoint(settings_.vm_api_address),
+                                              max_platform_connections);
     // The advice service accepts one request per node at a time.
     if (!settings_.advice_address.empty())
         advice_api_ = std::make_shared<http_pool>(
@@ -168,7 +196,7 @@
         return "cannot listen on " + settings_.link_address + ": " + problem;
     http_limits limits;
     limits.max_body_bytes = max_request_body_bytes;
-    limits.max_connections = max_control_connections;
+    limits.max_connections = descriptors_.requests - max_admin_connections;
     http_server_ = std::make_shared<http_server>(
         loop_, limits, [this](const http_request& request, const http_respond& respond) {
             handle_http(request, respond);
@@ -176,8 +204,10 @@
     problem = http_server_->listen(checked_tcp_endpoint(settings_.http_address));
     if (!problem.empty())
         return "cannot listen on " + settings_.http_address + ": " + problem;
+    http_limits admin_limits;
+    admin_limits.max_connections = max_admin_connections;
     admin_server_ = std::make_shared<http_server>(
-        loop_, http_limits{}, [this](const http_request& request, const http_respond& respond) {
+        loop_, admin_limits, [this](const http_request& request, const http_respond& respond) {
             handle_admin(request, respond);
         });
     problem = admin_server_->listen(checked_tcp_endpoint(settings_.admin_address));
@@ -193,6 +223,7 @@
 
 void job_control::stop_gracefully(std::function<void()> stopped) {
     stopping_ = true;
+    publish_directory(); // no longer a relay
     log_->transfer_leadership();
     const auto deadline = clock_.now() + leadership_transfer_timeout;
     auto timer = std::make_shared<asio::steady_timer>(loop_);
@@ -226,10 +257,7 @@
         if (server) // not if the start failed before
             server->stop();
     }
-    for (auto& [address, pools] : worker_pools_) {
-        pools.holds->stop();
-        pools.orders->stop();
-    }
+    exchange_.stop();
     if (vm_api_)
         vm_api_->stop();
     if (advice_api_)
@@ -262,6 +290,12 @@
     } else if (const auto* join = std::get_if<wire::join_request>(&value)) {
         links_->connect(node);
         log_->request_join(node, join->replica_id);
+    } else if (const auto* batch = std::get_if<wire::order_batch>(&value)) {
+        carry_out(peer, *batch);
+    } else if (const auto* read = std::get_if<wire::read_request>(&value)) {
+        // What this node acknowledges is committed and applied here before.
+        const bool serving = !stopping_ && log_->serving();
+        peer->send(wire::read_index{read->sequence, serving ? log_->applied_index() : 0});
     }
 }
 
@@ -269,9 +303,17 @@
 void job_control::handle_outgoing_link(const std::string& node, wire::message&& value) {
     if (const auto* reply = std::get_if<wire::call_reply>(&value))
         return router_->observe(node, *reply);
+    if (const auto* results = std::get_if<wire::result_batch>(&value))
+        return relays_.observe(node, *results, clock_.now());
+    if (const auto* index = std::get_if<wire::read_index>(&value)) {
+        reads_.observe(*index);
+        reads_.answer(log_->applied_index());
+        return ask_read_index();
+    }
     const auto* directory = std::get_if<wire::directory>(&value);
     if (!directory)
         return;
+    relays_.observe_offer(node, directory->relays);
     router_->observe(node, *directory);
     if (directory->leader != node)
         return;
@@ -300,6 +342,7 @@
         load_.observe_commit(pending.proposed_at, clock_.now());
         pending.done(pending.term == entry.term ? result : std::nullopt);
     }
+    reads_.answer(entry.index);
 }
 
 // Logs and counts the job changes of a committed command. Only the leader does this.
@@ -397,6 +440,7 @@
         proposals_.clear();
         submissions_.clear();
         work_.clear();
+        relays_.clear();
         proposed_configurations_.clear();
     }
     if (serving && !controller_.leading()) {
@@ -429,6 +473,7 @@
         directory.members = log_->committed_members().members;
         directory.commit_index = log_->commit_index();
     }
+    directory.relays = !stopping_;
     directory_published_at_ = clock_.now();
     router_->observe(settings_.link_address, directory);
     links_->broadcast(directory);
@@ -452,10 +497,14 @@
             load_.observe_timer(due, now);
             check_leadership();
             log_load(now);
-            if (now - directory_published_at_ >= directory_interval) {
+            const auto interval = links_->incoming() < many_links ? directory_interval
+                                                                  : directory_interval_many_links;
+            if (now - directory_published_at_ >= interval) {
                 publish_directory();
                 connect_members();
-                drop_unused_worker_pools();
+                exchange_.close_unused();
+                announcements_.drop_expired(now);
+                relays_.check_deadlines(now);
             }
             if (!log_->is_voter() && now - join_requested_at_ >= join_request_interval &&
                 !router_->leader().empty()) {
@@ -466,6 +515,10 @@
                 request_round();
             if (!work_.empty())
                 schedule_work();
+            if (relays_.has_unsent())
+                flush_relayed_orders();
+            reads_.check_deadline(now);
+            ask_read_index();
             schedule_tick();
         });
 }
@@ -498,10 +551,38 @@
     }
 }
 
+// The use of what may run short. The peak is the one since the metrics were read last.
+void job_control::record_resources() {
+    const auto open_files = count_open_files();
+    metrics_.set("clementine_open_files", {}, static_cast<double>(open_files));
+    metrics_.set("clementine_open_files_planned", {}, static_cast<double>(descriptors_.total()));
+    const auto& connections = exchange_.connections();
+    metrics_.set("clementine_worker_connections", {}, static_cast<double>(connections.open()));
+    metrics_.set("clementine_worker_connections_limit", {}, static_cast<double>(connections.max()));
+    metrics_.set("clementine_worker_connections_waiting", {},
+                 static_cast<double>(connections.waiting()));
+    metrics_.set("clementine_worker_connections_peak", {},
+                 static_cast<double>(exchange_.take_connection_peak()));
+    metrics_.set("clementine_relays", {}, static_cast<double>(relays_.relays()));
+    metrics_.set("clementine_relayed_orders_outstanding", {},
+                 static_cast<double>(relays_.outstanding()));
+}
+
 // Request handlers.
 
 bool job_control::handle_call(const wire::call& request, const reply_handler& reply) {
     check_leadership();
+    const bool query = request.origin == wire::call_origin::caller && request.method == "GET";
+    // Its sender may have told the client meanwhile that the request was not executed.
+    if (was_serving_ && request.term != 0 && request.term != log_->term()) {
+        load_.observe_declined_call();
+        return false;
+    }
+    if (!was_serving_ && query && !stopping_ && !router_->confirmed_leader().empty()) {
+        reads_.add({request, reply});
+        ask_read_index();
+        return true;
+    }
     if (!was_serving_) {
         load_.observe_declined_call();
         return false;
@@ -518,6 +599,36 @@
     return true;
 }
 
+// A query of an unknown path goes to the leader like any other request that changes nothing here.
+void job_control::answer_query(const wire::call& request, const reply_handler& reply) {
+    if (stopping_ || table_.config().version == 0) {
+        wire::call_reply declined;
+        declined.id = request.id;
+        return reply(declined);
+    }
+    metrics_.add("clementine_queries_answered", {});
+    const auto path = without_query(request.target);
+    const auto* queue = table_.config().route(without_port(request.host), path);
+    if (!queue)
+        return reply(make_reply(request.id, status_not_found));
+    const std::string id(path.substr(queue->prefix.size()));
+    if (id.empty())
+        return reply(make_reply(request.id, status_ok,
+                                protocol_.encode_pending(controller_.pending_jobs(queue->name))));
+    if (!protocol_.is_job_id(id))
+        return reply(make_reply(request.id, status_bad_request));
+    const auto* job = table_.find_job(id);
+    if (!job)
+        return reply(make_reply(request.id, status_gone));
+    reply(make_reply(request.id, status_ok, protocol_.encode_job_state(job->state)));
+}
+
+void job_control::ask_read_index() {
+    if (const auto sequence = reads_.next_request(clock_.now()))
+        if (!links_->send(router_->leader(), wire::read_request{*sequence}))
+            reads_.observe({*sequence, 0});
+}
+
 void job_control::handle_caller(const wire::call& request, const reply_handler& reply,
                                 time_ms waited) {
     if (stopping_ || !log_->serving()) {
@@ -528,24 +639,20 @@
     }
     if (table_.config().version == 0)
         return reply(make_reply(request.id, status_unavailable));
+    if (request.method == "GET")
+        return answer_query(request, reply);
     const auto path = without_query(request.target);
     const auto* queue = table_.config().route(without_port(request.host), path);
     if (!queue)
         return reply(make_reply(request.id, status_not_found));
     const std::string id(path.substr(queue->prefix.size()));
-    if (request.method == "GET" && id.empty())
-        return reply(make_reply(request.id, status_ok,
-                                protocol_.encode_pending(controller_.pending_jobs(queue->name))));
     if (!protocol_.is_job_id(id))
         return reply(make_reply(request.id, status_bad_request));
     if (request.method == "POST")
         return submit(*queue, id, request, reply, waited);
     if (request.method == "DELETE")
         return cancel(id, request, reply);
-    const auto* job = table_.find_job(id);
-    if (!job)
-        return reply(make_reply(request.id, status_gone));
-    reply(make_reply(request.id, status_ok, protocol_.encode_job_state(job->state)));
+    answer_query(request, reply);
 }
 
 void job_control::submit(const queue_config& queue, const std::string& id,
@@ -590,6 +697,7 @@
                  {{"queue", queue.name}, {"outcome", decision.accepted ? "accepted" : "refused"}});
     if (!decision.accepted)
         return reply(make_reply(request.id, status_unavailable, {}, decision.retry_after));
+    controller_.record_accepted_job(id, queue.pool, decision.expected_wait, clock_.now());
     submissions_[id].push_back({request.id, reply});
     submit_job op{id, queue.name, queue.pool, queue.attempts, std::move(*spec)};
     const bool proposed = propose({std::move(op)}, [this, id](const command_outcome& result) {
@@ -726,20 +834,51 @@
     call.host = std::string(request[http::field::host]);
     call.target = std::string(request.target());
     call.body = request.body();
-    router_->route(std::move(call), control_route_limits, [respond](const routed_reply& result) {
-        auto status = result.reply.status;
-        if (result.outcome == route_outcome::not_run)
-            status = status_unavailable;
-        else if (result.outcome == route_outcome::unknown)
-            status = status_gateway_timeout;
-        respond(make_response(static_cast<http::status>(status), result.reply.body,
-                              "application/json"));
-    });
+    std::optional<worker_report> report;
+    if (acknowledge_repeated(request, respond, report))
+        return;
+    const auto term = router_->leader_term();
+    router_->route(std::move(call), control_route_limits,
+                   [this, respond, report, term](const routed_reply& result) {
+                       auto status = result.reply.status;
+                       if (report && result.outcome == route_outcome::answered &&
+                           status == status_ok)
+                           announcements_.acknowledged(*report, term, clock_.now());
+                       if (result.outcome == route_outcome::not_run)
+                           status = status_unavailable;
+                       else if (result.outcome == route_outcome::unknown)
+                           status = status_gateway_timeout;
+                       respond(make_response(static_cast<http::status>(status), result.reply.body,
+                                             "application/json"));
+                   });
+}
+
+// Acknowledges an announcement that the leader knows already, without passing it on. Otherwise sets
+// `report` if the request is an announcement that may be repeated.
+bool job_control::acknowledge_repeated(const http_request& request, const http_respond& respond,
+                                       std::optional<worker_report>& report) {
+    if (request.method() != http::verb::put || was_serving_ || router_->confirmed_leader().empty())
+        return false;
+    const auto decoded = protocol_.decode_control(
+        {std::string(request.method_string()), std::string(request[http::field::host]),
+         std::string(without_query({request.target().data(), request.target().size()})),
+         request.body()});
+    const auto* announced = std::get_if<announce_worker>(&decoded);
+    if (!announced)
+        return false;
+    if (announcements_.covers(announced->report, router_->leader_term(), clock_.now())) {
+        respond(make_response(http::status::ok, "{}", "application/json"));
+        return true;
+    }
+    if (!announced->report.draining)
+        report = announced->report;
+    return false;
 }
 
 void job_control::handle_admin(const http_request& request, const http_respond& respond) {
     if (request.target() != "/metrics")
         return respond(make_response(http::status::not_found, "", "text/plain"));
+    record_resources();
     metrics_.set("clementine_replica_leader", {}, was_serving_ ? 1 : 0);
     metrics_.set("clementine_replica_term", {}, static_cast<double>(log_->term()));
     metrics_.set("clementine_replica_commit_index", {}, static_cast<double>(log_->commit_index()));
@@ -831,60 +970,114 @@
     return uncommitted + work_.oldest_age(work_class::worker_traffic, now);
 }
 
-http_pool& job_control::worker_pool(const std::string& address, bool for_holds) {
-    auto& pools = worker_pools_[address];
-    if (!pools.holds) {
-        pools.holds = std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(address), 1);
-        pools.orders = std::make_shared<http_pool>(loop_, clock_, checked_tcp_endpoint(address),
-                                                   max_order_connections);
-    }
-    pools.used_at = clock_.now();
-    return for_holds ? *pools.holds : *pools.orders;
-}
-
-void job_control::drop_unused_worker_pools() {
-    std::erase_if(worker_pools_, [this](auto& item) {
-        if (clock_.now() - item.second.used_at < worker_pool_expiry)
-            return false;
-        item.second.holds->stop();
-        item.second.orders->stop();
-        return true;
-    });
-}
-
 void job_control::send(order value) {
     if (std::holds_alternative<list_vms_order>(value) ||
         std::holds_alternative<move_order>(value) || std::holds_alternative<upkeep_order>(value))
         return send_vm_order(std::move(value), {}, {});
     if (std::holds_alternative<advise_order>(value))
         return send_advise_order(std::move(value));
-    queue_work(work_class::worker_traffic,
-               [this, value = std::move(value), fence = controller_.fence()](time_ms) {
-                   // Another leader, or a later term, decides anew.
-                   if (controller_.fence() == fence)
-                       send_worker_order(value);
-               });
+    send_worker_order(value);
 }
 
 void job_control::send_worker_order(const order& value) {
-    const auto encoded = protocol_.encode_order(value, settings_.node, {});
-    const auto* hold = std::get_if<hold_order>(&value);
-    const auto& address = std::visit(
-        [](const auto& item) -> std::string {
-            if constexpr (requires { item.address; })
-                return item.address;
+    const auto& worker = std::visit(
+        [](const auto& item) -> const std::string& {
+            static const std::string none;
+            if constexpr (requires { item.worker.id; })
+                return item.worker.id;
             else
-                return {};
+                return none;
         },
         value);
-    const auto limit = hold ? hold->wait + hold_timeout_margin : order_timeout;
-    worker_pool(address, hold != nullptr)
-        .request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
-                 [this, value](const http_result& exchange) {
-                     queue_work(work_class::worker_traffic, [this, value, exchange](time_ms) {
-                         observe_result(value, decode_result(value, exchange), exchange);
-                     });
-                 });
+    if (controller_.workers().size() >= settings_.relay_min_workers &&
+        !relays_.relay_of(worker).empty()) {
+        relays_.add(value, worker, clock_.now());
+        if (!std::exchange(relay_flush_due_, true))
+            asio::post(loop_, [this] {
+                relay_flush_due_ = false;
+                flush_relayed_orders();
+            });
+        return;
+    }
+    queue_work(work_class::worker_traffic, [this, value, fence = controller_.fence()](time_ms) {
+        // Another leader, or a later term, decides anew.
+        if (controller_.fence() != fence)
+            return;
+        exchange_.send(
+            value, nullptr,
+            [this, value](const order_result& result, time_ms sent_at, time_ms received_at) {
+                queue_result(value, result, sent_at, received_at);
+            });
+    });
+}
+
+// Without the lease another node may lead already; the tick continues when the lease is back.
+void job_control::flush_relayed_orders() {
+    if (!stopped_ && controller_.leading() && log_->serving())
+        relays_.flush(controller_.fence(), clock_.now());
+}
+
+void job_control::queue_result(const order& value, const order_result& result, time_ms sent_at,
+                               time_ms received_at) {
+    queue_work(work_class::worker_traffic, [this, value, result, sent_at, received_at](time_ms) {
+        observe_result(value, result, sent_at, received_at);
+    });
+}
+
+void job_control::carry_out(const std::shared_ptr<wire::connection>& peer,
+                            const wire::order_batch& batch) {
+    const auto now = clock_.now();
+    auto orders = decode_relayed_orders(batch.orders);
+    if (!orders) {
+        log_event(log_level::error, "orders_unreadable").field("leader", peer->peer().node);
+        return;
+    }
+    const auto newest_term = [this] { return std::max(log_->term(), router_->leader_term()); };
+    if (batch_ages_.size() > max_batch_ages)
+        batch_ages_.clear(); // of processes that have ended, for the most part
+    auto& age = batch_ages_[{peer->peer().node, peer->peer().boot_id}];
+    const bool recent = age.is_recent(batch.sent_at, now);
+    const bool current = batch.term >= newest_term();
+    if (!recent || !current)
+        log_event(log_level::warning, "orders_not_carried_out")
+            .field("leader", peer->peer().node)
+            .field("term", batch.term)
+            .field("newest_term", newest_term())
+            .field("delayed", !recent)
+            .field("orders", std::uint64_t{orders->size()});
+    metrics_.add("clementine_relayed_orders",
+                 {{"outcome", recent && current ? "carried-out" : "declined"}}, orders->size());
+    for (auto& item : *orders) {
+        if (!recent || !current || stopped_) {
+            add_result(peer, {item.id, order_answer::undelivered, {}});
+            continue;
+        }
+        const auto may_send = [this, now, newest_term, term = batch.term] {
+            return clock_.now() - now <= max_relay_wait && term >= newest_term();
+        };
+        exchange_.send(std::move(item.value), may_send,
+                       [this, peer, id = item.id](const order_result& result, time_ms, time_ms) {
+                           add_result(peer, {id, result.answer, result.lists});
+                       });
+    }
+}
+
+// Results of one pass of the event loop share a message.
+void job_control::add_result(const std::shared_ptr<wire::connection>& peer,
+                             const relayed_result& result) {
+    if (peer->is_closed())
+        return;
+    if (unsent_results_.empty())
+        asio::post(loop_, [this] { flush_results(); });
+    append_encoded(unsent_results_[peer], result);
+}
+
+void job_control::flush_results() {
+    for (auto& [peer, results] : std::exchange(unsent_results_, {})) {
+        // The leader would wait for what is lost here.
+        if (!peer->send(wire::result_batch{std::move(results)}))
+            peer->stop();
+    }
 }
 
 void job_control::send_advise_order(order value) {
@@ -892,14 +1085,13 @@
     if (!advice_api_) {
         order_result result;
         result.answer = order_answer::not_sent;
-        http_result exchange;
-        exchange.received_at = clock_.now();
-        return observe_result(value, result, exchange);
+        return observe_result(value, result, clock_.now(), clock_.now());
     }
     const auto encoded = protocol_.encode_order(value, settings_.node, {});
     advice_api_->request({encoded.method, encoded.target, encoded.headers, encoded.body}, limit,
                          [this, value = std::move(value)](const http_result& exchange) {
-                             observe_result(value, decode_result(value, exchange), exchange);
+                             observe_result(value, decode_result(value, exchange), exchange.sent_at,
+                                            exchange.received_at);
                          });
 }
 
@@ -939,20 +1131,18 @@
             metrics_.add("clementine_platform_calls",
                          {{"answer", std::string(to_name(result.answer))}});
             // Behind the answers of workers that came before it.
-            queue_work(work_class::worker_traffic,
-                       [this, value = std::move(value), result = std::move(result),
-                        exchange](time_ms) { observe_result(value, result, exchange); });
+            queue_result(value, result, exchange.sent_at, exchange.received_at);
         });
 }
 
-void job_control::observe_result(const order& value, const order_result& result,
-                                 const http_result& exchange) {
+void job_control::observe_result(const order& value, const order_result& result, time_ms sent_at,
+                                 time_ms received_at) {
     if (stopped_ || !controller_.leading())
         return;
     const load_monitor::timer timer(load_, activity::exchange);
-    const auto now = exchange.received_at;
+    const auto now = received_at;
     if (const auto* hold = std::get_if<hold_order>(&value))
-        controller_.observe(*hold, result.answer, result.lists, exchange.sent_at, now);
+        controller_.observe(*hold, result.answer, result.lists, sent_at, now);
     else if (const auto* start = std::get_if<start_order>(&value))
         controller_.observe(*start, result.answer, now);
     else if (const auto* stop = std::get_if<stop_order>(&value))
--- a/src/control/job_control.h
+++ b/src/control/job_control.h
@@ -3,15 +3,20 @@
 #pragma once
 
 #include "base/metrics.h"
+#include "control/announcement_cache.h"
 #include "control/cluster_links.h"
+#include "control/descriptor_budget.h"
 #include "control/http_pool.h"
 #include "control/http_server.h"
 #include "control/leader_router.h"
 #include "control/limits.h"
 #include "control/load_monitor.h"
 #include "control/log_node.h"
+#include "control/order_relays.h"
 #include "control/proposal_queue.h"
+#include "control/replica_reads.h"
 #include "control/work_queue.h"
+#include "control/worker_exchange.h"
 #include "workload/controller.h"
 #include "workload/fleet_protocol.h"
 
@@ -39,6 +44,9 @@
     std::vector<std::string> seeds; // link addresses of some control nodes
     bool first_start = false;
     std::size_t tolerated_losses = 1;
+    std::size_t max_open_files = 0; // 0 for the limit of the process
+    // With at least this many workers, other control nodes exchange with them for the leader.
+    std::size_t relay_min_workers = workload::large_fleet_workers;
     workload::controller_settings decisions;
 };
 
@@ -115,7 +123,12 @@
                 const reply_handler& reply);
     void handle(const workload::unknown_request& request, std::uint64_t id,
                 const reply_handler& reply);
+    // Answers a query from the applied state.
+    void answer_query(const wire::call& request, const reply_handler& reply);
+    void ask_read_index();
     void handle_http(const http_request& request, const http_respond& respond);
+    bool acknowledge_repeated(const http_request& request, const http_respond& respond,
+                              std::optional<workload::worker_report>& report);
     void handle_admin(const http_request& request, const http_respond& respond);
 
     // Decisions and orders.
@@ -128,15 +141,22 @@
     time_ms order_delay() const;
     void send(workload::order value);
     void send_worker_order(const workload::order& value);
+    void flush_relayed_orders();
+    void queue_result(const workload::order& value, const workload::order_result& result,
+                      time_ms sent_at, time_ms received_at);
+    // Carries out orders for the leader.
+    void carry_out(const std::shared_ptr<wire::connection>& peer, const wire::order_batch& batch);
+    void add_result(const std::shared_ptr<wire::connection>& peer,
+                    const workload::relayed_result& result);
+    void flush_results();
     void send_advise_order(workload::order value);
     workload::order_result decode_result(const workload::order& value,
                                          const http_result& exchange) const;
     void send_vm_order(workload::order value, const std::string& page,
                        std::vector<workload::vm_report> vms);
     void observe_result(const workload::order& value, const workload::order_result& result,
-                        const http_result& exchange);
-    http_pool& worker_pool(const std::string& address, bool for_holds);
-    void drop_unused_worker_pools();
+                        time_ms sent_at, time_ms received_at);
+    void record_resources();
 
     boost::asio::io_context& loop_;
     job_control_settings settings_;
@@ -155,12 +175,16 @@
     std::shared_ptr<http_server> admin_server_;
     std::shared_ptr<http_pool> vm_api_;
     std::shared_ptr<http_pool> advice_api_;
-    struct worker_pools {
-        std::shared_ptr<http_pool> holds;
-        std::shared_ptr<http_pool> orders;
-        time_ms used_at{0};
-    };
-    std::map<std::string, worker_pools> worker_pools_;
+    descriptor_budget descriptors_;
+    worker_exchange exchange_;
+    order_relays relays_;
+    bool relay_flush_due_ = false;
+    // Encoded results of orders carried out for leaders, not sent yet.
+    std::map<std::shared_ptr<wire::connection>, std::string> unsent_results_;
+    // Age of batches, by node and by start of its process.
+    std::map<std::pair<std::string, std::uint64_t>, batch_age> batch_ages_;
+    announcement_cache announcements_;
+    replica_reads reads_;
     std::multimap<consensus::index_t, pending_command> pending_commands_;
     work_queue work_;
     bool work_due_ = false;
--- a/src/control/leader_router.cpp
+++ b/src/control/leader_router.cpp
@@ -17,9 +17,19 @@
 constexpr std::string_view local_node = "local";
 // An unanswered attempt is overdue after this time; a commit takes about 15 ms.
 constexpr time_ms attempt_timeout{450};
+// A query that a replica leaves unanswered for this long goes to the leader; a replica answers
+// within a few ms.
+constexpr time_ms replica_timeout{150};
 // The leader counts as unknown if it was not confirmed for this long.
 constexpr time_ms leader_expiry{1'500};
 
+// Lowest status of an answer that says that a request was not executed.
+constexpr std::uint32_t first_refusal = 400;
+
+bool is_query(const wire::call& request) {
+    return request.origin == wire::call_origin::caller && request.method == "GET";
+}
+
 } // namespace
 
 leader_router::leader_router(boost::asio::io_context& loop, const clock_source& clock,
@@ -31,7 +41,7 @@
 }
 
 void leader_router::route(wire::call request, route_limits limits, done_handler done) {
-    if (admit_call(overdue_calls_, held_requests_) == call_admission::refuse)
+    if (!is_query(request) && admit_call(overdue_calls_, held_requests_) == call_admission::refuse)
         return done({});
     const auto now = clock_.now();
     request.id = ++last_id_;
@@ -47,9 +57,26 @@
     attempt(item);
 }
 
+// Returns true if a query was sent to a replica.
+bool leader_router::ask_replica(pending_request& item) {
+    if (!is_query(item.request) || item.asked_replica || replicas_.empty())
+        return false;
+    item.asked_replica = true;
+    const auto& replica = replicas_[item.request.id % replicas_.size()];
+    if (!links_.is_open(replica) || !links_.send(replica, item.request))
+        return false;
+    ++counters_.sent;
+    ++item.attempts;
+    item.sent_to = replica;
+    item.sent_at = clock_.now();
+    item.sent_term = leader_term_;
+    item.overdue = false;
+    return true;
+}
+
 // May finish and erase `item`.
 void leader_router::attempt(pending_request& item) {
-    if (!leaves_time_for_an_answer(clock_.now(), item.deadline))
+    if (!leaves_time_for_an_answer(clock_.now(), item.deadline) || ask_replica(item))
         return;
     const auto id = item.request.id;
     const auto answer = [this, id](const wire::call_reply& reply) {
@@ -64,7 +91,8 @@
     if (execute_locally_) {
         // Marked as sent before: the execution may find that this node leads now, which sends all
         // requests that are not. The reply may arrive before the call returns.
-        const auto request = item.request;
+        auto request = item.request;
+        request.term = 0;
         item.sent_to = local_node;
         item.sent_at = clock_.now();
         item.sent_term = leader_term_;
@@ -77,6 +105,7 @@
         ++held_requests_;
         return;
     }
+    item.request.term = leader_term_;
     if (leader_.empty() || !links_.send(leader_, item.request)) {
         // Nothing was sent, but this node has declined.
         if (execute_locally_)
@@ -101,9 +130,8 @@
     const auto it = pending_.find(id);
     if (it == pending_.end())
         return;
-    constexpr std::uint32_t first_refusal = 400;
     if (outcome == route_outcome::answered && reply.status >= first_refusal &&
-        it->second.may_have_run)
+        it->second.may_have_run && it->second.sent_term <= it->second.lost_term)
         outcome = route_outcome::unknown;
     const auto attempts = it->second.attempts;
     const auto done = std::move(it->second.done);
@@ -121,8 +149,15 @@
         leader_confirmed_at_ = clock_.now();
     const bool changed = value.leader != leader_ || value.term != leader_term_;
     leader_term_ = value.term;
+    // Only a leader that may serve lists the members.
+    if (value.leader == node && !value.members.empty()) {
+        replicas_.clear();
+        for (const auto& member : value.members) {
+            if (member.node != node)
+                replicas_.push_back(member.node);
+        }
+    }
     if (!changed) {
-        // Only a leader that may serve lists the members.
         if (value.leader == node && !value.members.empty())
             resume_paused();
         return;
@@ -141,16 +176,20 @@
     const auto it = pending_.find(value.id);
     if (it == pending_.end())
         return;
-    if (value.handled)
+    auto& item = it->second;
+    // A refusal of an earlier attempt says nothing about the one that is under way.
+    const bool refusal = value.handled && value.status >= first_refusal;
+    if (value.handled && (!refusal || item.sent_to == node))
         return finish(value.id, route_outcome::answered, value);
     // The node does not lead and has not executed the request.
-    auto& item = it->second;
     if (item.sent_to != node)
         return;
     ++counters_.declined;
     item.sent_to.clear();
     if (node == leader_ && item.sent_term == leader_term_)
         pause(item);
+    else if (is_query(item.request))
+        attempt(item);
 }
 
 void leader_router::observe_opened(const std::string& node) {
@@ -158,13 +197,21 @@
         retry_unsent();
 }
 
+// Queries change nothing, so it does not matter whether they were executed.
+void leader_router::lose_attempt(pending_request& item) {
+    if (!is_query(item.request)) {
+        item.may_have_run = true;
+        item.lost_term = std::max(item.lost_term, item.sent_term);
+    }
+    item.sent_to.clear();
+}
+
 void leader_router::observe_closed(const std::string& node) {
     if (node == leader_)
         overdue_calls_ = 0;
     for (auto& [id, item] : pending_) {
         if (item.sent_to == node) {
-            item.may_have_run = true;
-            item.sent_to.clear();
+            lose_attempt(item);
         }
     }
 }
@@ -230,13 +277,15 @@
                                                                 : route_outcome::unknown);
         else if (unsent && !item.may_have_run && now >= item.leader_deadline)
             ended.emplace_back(id, route_outcome::not_run);
+        else if (!unsent && item.sent_to != leader_ && is_query(item.request) &&
+                 now - item.sent_at >= replica_timeout)
+            item.sent_to.clear();
         else if (!unsent && now - item.sent_at >= attempt_timeout) {
             if (!std::exchange(item.overdue, true))
                 ++counters_.timed_out;
             if (item.sent_term < leader_term_) {
                 // The leader of that term drops what it had not committed.
-                item.may_have_run = true;
-                item.sent_to.clear();
+                lose_attempt(item);
             } else if (item.sent_to == leader_)
                 ++overdue_calls_;
         }
--- a/src/control/leader_router.h
+++ b/src/control/leader_router.h
@@ -1,9 +1,14 @@
 // Forwards requests to the leading control node and retries across leader changes.
 //
+// Queries of callers go to another replica first, so that the leader is left to decide. A replica
+// answers only what it knows and declines the rest, which then goes to the leader.
+//
 // The forwarded requests are idempotent, so an unanswered attempt is retried, but only after its
 // link was lost or the term has changed: until then it is still queued at the leader, or the
 // answer is on its way. A silent link is closed. A refusal after an unanswered attempt is not
-// returned to the client, because that attempt may have been executed.
+// returned to the client, because that attempt may have been executed. If a leader of a later term
+// refuses, the attempt has not been and never will be: each call names the term of the leader that
+// it is sent to, and what earlier leaders have logged is known to the later one.
 #pragma once
 
 #include "base/clock.h"
@@ -17,6 +22,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace clementine::control {
 
@@ -104,14 +110,18 @@
         time_ms retry_at{0};            // not sent again before
         std::uint64_t resumed_term = 0; // term in which its pause was cut short
         bool overdue = false;
-        bool may_have_run = false; // an earlier attempt got no answer and may have been executed
+        bool asked_replica = false;  // a query that a replica declined or did not answer
+        bool may_have_run = false;   // an earlier attempt got no answer and may have been executed
+        std::uint64_t lost_term = 0; // latest term in which that happened
         done_handler done;
     };
 
     void attempt(pending_request& item);
+    bool ask_replica(pending_request& item);
     void pause(pending_request& item);
     void resume_paused();
     void retry_due();
+    static void lose_attempt(pending_request& item);
     void finish(std::uint64_t id, route_outcome outcome, const wire::call_reply& reply);
     void process_timeouts();
     void schedule_timer();
@@ -125,6 +135,7 @@
     time_ms leader_seen_at_{0};
     time_ms leader_confirmed_at_{0}; // last announcement by the leader itself
     std::uint64_t last_id_ = 0;
+    std::vector<std::string> replicas_; // members other than the leader
     std::map<std::uint64_t, pending_request> pending_;
     attempt_counters counters_;
     random_source random_;
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -482,6 +482,7 @@
     out.setHost(value.host);
     out.setTarget(value.target);
     out.setBody(to_data(value.body));
+    out.setTerm(value.term);
 }
 
 call read(schema::Call::Reader in) {
@@ -492,6 +493,7 @@
     out.host = from_text(in.getHost());
     out.target = from_text(in.getTarget());
     out.body = from_data(in.getBody());
+    out.term = in.getTerm();
     return out;
 }
 
@@ -519,6 +521,7 @@
     out.setLeader(value.leader);
     out.setTerm(value.term);
     out.setCommitIndex(value.commit_index);
+    out.setRelays(value.relays);
     auto members = out.initMembers(schema_list_size(value.members));
     for (unsigned i = 0; i < members.size(); ++i) {
         members[i].setId(value.members[i].id);
@@ -532,11 +535,41 @@
     out.leader = from_text(in.getLeader());
     out.term = in.getTerm();
     out.commit_index = in.getCommitIndex();
+    out.relays = in.getRelays();
     for (const auto item : in.getMembers())
         out.members.push_back({item.getId(), from_text(item.getNode()), item.getVoter()});
     return out;
 }
 
+void write(schema::Message::Builder root, const order_batch& value) {
+    auto out = root.initOrderBatch();
+    out.setTerm(value.term);
+    out.setSentAt(value.sent_at);
+    out.setOrders(to_data(value.orders));
+}
+
+order_batch read(schema::OrderBatch::Reader in) {
+    return {in.getTerm(), in.getSentAt(), from_data(in.getOrders())};
+}
+
+void write(schema::Message::Builder root, const result_batch& value) {
+    root.initResultBatch().setResults(to_data(value.results));
+}
+
+result_batch read(schema::ResultBatch::Reader in) {
+    return {from_data(in.getResults())};
+}
+
+void write(schema::Message::Builder root, const read_request& value) {
+    root.initReadRequest().setSequence(value.sequence);
+}
+
+void write(schema::Message::Builder root, const read_index& value) {
+    auto out = root.initReadIndex();
+    out.setSequence(value.sequence);
+    out.setIndex(value.index);
+}
+
 void write(schema::Message::Builder root, const join_request& value) {
     root.initJoinRequest().setReplicaId(value.replica_id);
 }
@@ -581,6 +614,14 @@
         return read(in.getCall());
     case schema::Message::CALL_REPLY:
         return read(in.getCallReply());
+    case schema::Message::ORDER_BATCH:
+        return read(in.getOrderBatch());
+    case schema::Message::RESULT_BATCH:
+        return read(in.getResultBatch());
+    case schema::Message::READ_REQUEST:
+        return read_request{in.getReadRequest().getSequence()};
+    case schema::Message::READ_INDEX:
+        return read_index{in.getReadIndex().getSequence(), in.getReadIndex().getIndex()};
     case schema::Message::DIRECTORY:
         return read(in.getDirectory());
     }
--- a/src/wire/connection.cpp
+++ b/src/wire/connection.cpp
@@ -66,9 +66,13 @@
     if (closed_)
         return false;
     auto frame = make_frame(encode(value));
-    if (!frame)
+    return frame && send_frame(std::move(*frame));
+}
+
+bool connection::send_frame(std::string frame) {
+    if (closed_)
         return false;
-    const auto size = frame->size();
+    const auto size = frame.size();
     if (queued_bytes_.fetch_add(size) + size > settings_.send_queue_bytes) {
         queued_bytes_ -= size;
         return false;
@@ -76,7 +80,7 @@
     // On a thread of the event loop the frame leaves at once; what follows it until the write
     // completes is gathered.
     asio::dispatch(socket_.get_executor(),
-                   [self = shared_from_this(), frame = std::move(*frame)]() mutable {
+                   [self = shared_from_this(), frame = std::move(frame)]() mutable {
                        self->enqueue(std::move(frame));
                    });
     return true;
--- a/src/wire/connection.h
+++ b/src/wire/connection.h
@@ -97,6 +97,8 @@
     // closed. May be called from any thread. Success does not mean that the peer
     // receives it.
     bool send(const message& value);
+    // As above, for a message that was encoded with make_frame.
+    bool send_frame(std::string frame);
     // Closes with reason `stopped`; a message that has not been delivered yet is dropped. May be
     // called from any thread.
     void stop();
--- a/src/wire/messages.capnp
+++ b/src/wire/messages.capnp
@@ -26,6 +26,10 @@
     call @16 :Call;
     callReply @17 :CallReply;
     directory @18 :Directory;
+    orderBatch @19 :OrderBatch;
+    resultBatch @20 :ResultBatch;
+    readRequest @21 :ReadRequest;
+    readIndex @22 :ReadIndex;
   }
 }
 
@@ -286,6 +290,7 @@
   host @3 :Text;
   target @4 :Text;
   body @5 :Data;
+  term @6 :UInt64;
 }
 
 enum CallOrigin {
@@ -306,6 +311,29 @@
   term @1 :UInt64;
   members @2 :List(DirectoryMember);
   commitIndex @3 :UInt64;
+  relays @4 :Bool;
+}
+
+# Orders that a control node carries out for the leader; src/workload/order_codec.h describes the
+# encoded orders and results.
+struct OrderBatch {
+  term @0 :UInt64;
+  sentAt @1 :Int64;
+  orders @2 :Data;
+}
+
+struct ResultBatch {
+  results @0 :Data;
+}
+
+# Asks the leader for the log index that a read must not be older than.
+struct ReadRequest {
+  sequence @0 :UInt64;
+}
+
+struct ReadIndex {
+  sequence @0 :UInt64;
+  index @1 :UInt64;
 }
 
 struct DirectoryMember {
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -140,6 +140,7 @@
     std::string host; // Host header
     std::string target;
     std::string body;
+    std::uint64_t term = 0; // of the leader that it is sent to; another leader declines. 0 for any
 };
 
 // Answer to a call. `handled` is false if the receiver is not the leader and did nothing.
@@ -157,11 +158,37 @@
     std::uint64_t term = 0;
     std::vector<consensus::member> members; // the committed membership, sent by the leader only
     consensus::index_t commit_index = 0;    // of `members`; 0 if the sender does not tell
+    bool relays = false;                    // the sender carries out order batches
 };
 
-using message = std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state,
-                             version_report, routing::entry_tick, claim_request, claim_reply,
-                             claim_release, claim_outcome, claim_sync, home_release, join_request,
-                             demand_report, call, call_reply, directory>;
+// Orders to workers that the receiver carries out for the leader of a term.
+struct order_batch {
+    std::uint64_t term = 0;
+    time_ms sent_at{0}; // on the sender's clock; batches that were delayed are not carried out
+    std::string orders; // encoded as in workload/order_codec.h
+};
+
+// Asks the leader for the log index that a read must not be older than.
+struct read_request {
+    std::uint64_t sequence = 0; // unique per sending process
+};
+
+// Answer of the leader: all that was acknowledged before is in the log up to `index`. 0 if the
+// receiver of the request does not lead.
+struct read_index {
+    std::uint64_t sequence = 0;
+    consensus::index_t index = 0;
+};
+
+// Results of orders from batches, in any order and grouping.
+struct result_batch {
+    std::string results; // encoded as in workload/order_codec.h
+};
+
+using message =
+    std::variant<hello, heartbeat, consensus::message, subscribe, manifest_state, version_report,
+                 routing::entry_tick, claim_request, claim_reply, claim_release, claim_outcome,
+                 claim_sync, home_release, join_request, demand_report, call, call_reply, directory,
+                 order_batch, result_batch, read_request, read_index>;
 
 } // namespace clementine::wire
--- a/tests/control/leader_router_test.cpp
+++ b/tests/control/leader_router_test.cpp
@@ -18,6 +18,7 @@
 namespace asio = boost::asio;
 
 constexpr std::uint32_t status_ok = 200;
+constexpr std::uint32_t status_unavailable = 503;
 
 wire::hello hello_of(const std::string& node) {
     wire::hello out;
@@ -29,7 +30,7 @@
 // Accepts links, counts the calls and answers them as told.
 class standin_leader {
   public:
-    enum class reaction { answer, decline, ignore };
+    enum class reaction { answer, refuse, decline, ignore };
 
     explicit standin_leader(asio::io_context& loop) {
         wire::channel_server::handlers callbacks;
@@ -81,8 +82,10 @@
             return ignored_.emplace_back(peer, id), void();
         wire::call_reply reply;
         reply.id = id;
-        reply.handled = mode == reaction::answer;
-        reply.status = reply.handled ? status_ok : 0;
+        reply.handled = mode != reaction::decline;
+        reply.status = mode == reaction::answer ? status_ok : 0;
+        if (mode == reaction::refuse)
+            reply.status = status_unavailable;
         peer->send(reply);
     }
 
@@ -98,6 +101,8 @@
     CPPUNIT_TEST(late_leader_is_sent_each_call_again);
     CPPUNIT_TEST(call_lost_with_its_link_is_never_answered);
     CPPUNIT_TEST(call_lost_with_its_term_is_never_answered);
+    CPPUNIT_TEST(refusal_by_a_later_leader_is_reported_as_unknown);
+    CPPUNIT_TEST(refusal_after_a_lost_attempt_is_taken_as_certain);
     CPPUNIT_TEST(calls_queue_up_at_a_leader_that_does_not_answer);
     CPPUNIT_TEST(request_that_finds_a_new_leadership_is_executed_twice);
     CPPUNIT_TEST_SUITE_END();
@@ -252,6 +257,32 @@
         CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
     }
 
+    // The later leader knows all that the earlier one had logged, so its refusal is certain:
+    // callers of a leader that was lost got 504 although their requests never ran.
+    void refusal_by_a_later_leader_is_reported_as_unknown() {
+        leader_->mode = reaction::ignore;
+        route(number_of_calls);
+        run_for(100);
+        leader_->mode = reaction::refuse;
+        leader_->term = 2;
+        leader_->announce();
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::answered));
+        for (const auto& item : replies_)
+            CPPUNIT_ASSERT_EQUAL(status_unavailable, item.reply.status);
+    }
+
+    // The same leader may still execute the attempt whose link was lost.
+    void refusal_after_a_lost_attempt_is_taken_as_certain() {
+        leader_->mode = reaction::ignore;
+        route(number_of_calls);
+        run_for(100);
+        leader_->mode = reaction::refuse;
+        leader_->close_links();
+        CPPUNIT_ASSERT(wait_for_replies(number_of_calls));
+        CPPUNIT_ASSERT_EQUAL(number_of_calls, replies_with(route_outcome::unknown));
+    }
+
     // A leader that stood still found a queue of calls that had long timed out, and callers whose
     // calls could have been refused got 504.
     void calls_queue_up_at_a_leader_that_does_not_answer() {
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -32,6 +32,8 @@
 class cluster_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(cluster_test);
     CPPUNIT_TEST(jobs_survive_leader_change_and_lost_disk);
+    CPPUNIT_TEST(orders_pass_through_relays);
+    CPPUNIT_TEST(replica_answers_queries);
     CPPUNIT_TEST(lost_disk_is_replaced_by_spare);
     CPPUNIT_TEST(entry_finds_leader_through_spare);
     CPPUNIT_TEST(entry_without_links_is_not_ready);
@@ -51,6 +53,7 @@
     std::map<int, std::unique_ptr<job_control>> nodes_;
     std::vector<std::unique_ptr<job_control>> stopped_nodes_;
     std::size_t tolerated_losses_ = 1;
+    std::size_t relay_min_workers_ = 100;
     std::vector<std::string> seeds_{address(1, links_port), address(2, links_port),
                                     address(3, links_port)};
 
@@ -68,6 +71,7 @@
         settings.seeds = seeds_;
         settings.first_start = first_start;
         settings.tolerated_losses = tolerated_losses_;
+        settings.relay_min_workers = relay_min_workers_;
         nodes_[node] =
             std::make_unique<job_control>(loop_, settings, protocol_, files_, clock_,
                                           [](const std::string& reason) { CPPUNIT_FAIL(reason); });
@@ -261,6 +265,105 @@
         nodes_.erase(node);
     }
 
+    std::string metrics_of(int node) {
+        return call(address(node, admin_port), {"GET", "/metrics", {}, {}}).body;
+    }
+
+    // Value of a metric with all its labels; 0 if there is none.
+    static double metric(const std::string& text, const std::string& name) {
+        const auto at = text.find("\n" + name + " ");
+        return at == std::string::npos ? 0 : std::stod(text.substr(at + name.size() + 2));
+    }
+
+    int leader() {
+        for (const auto& [number, node] : nodes_) {
+            if (metric(metrics_of(number), "clementine_replica_leader{}") == 1)
+                return number;
+        }
+        return 0;
+    }
+
+    // The leader's exchange with hundreds of workers took more of its processor than its decisions.
+    // A relay that is lost with orders under way must neither lose nor repeat a task.
+    void orders_pass_through_relays() {
+        relay_min_workers_ = 1;
+        auto entry = start_small_cluster();
+        std::vector<std::unique_ptr<standin_worker>> workers;
+        for (int i = 0; i < 6; ++i) {
+            workers.push_back(std::make_unique<standin_worker>(
+                loop_, clock_,
+                standin_worker_options{"i-" + std::to_string(i),
+                                       "s1",
+                                       "127.47.1." + std::to_string(i + 1),
+                                       {address(1, control_port), address(2, control_port),
+                                        address(3, control_port)}}));
+            CPPUNIT_ASSERT_EQUAL(std::string(), workers.back()->start());
+        }
+        run_for(1'500);
+        const std::string body =
+            R"({"Spec":"300","Steps":[{"Count":3,"Cpu":500,"MemMb":64,"EstimateMs":300},)"
+            R"({"Count":2,"Cpu":500,"MemMb":64,"EstimateMs":300,"DependsOn":[0]}]})";
+        const auto entry_address = address(9, callers_port);
+        const auto id_of = [](int i) { return "00000000000000" + std::to_string(10 + i); };
+        int lost = 0;
+        for (int i = 0; i < 12; ++i) {
+            call_until(entry_address, job_request("POST", id_of(i), body), 200);
+            run_for(100);
+            if (i == 6) {
+                const auto leading = leader();
+                CPPUNIT_ASSERT(leading != 0);
+                for (const auto& [number, node] : nodes_)
+                    lost = number == leading ? lost : number;
+                CPPUNIT_ASSERT(metric(metrics_of(lost),
+                                      R"(clementine_relayed_orders{outcome="carried-out"})") > 0);
+                kill_node(lost);
+            }
+        }
+        for (int i = 0; i < 12; ++i)
+            CPPUNIT_ASSERT(wait_for([&] {
+                return call(entry_address, job_request("GET", id_of(i))).body ==
+                       R"({"State":"completed"})";
+            }));
+        for (const auto& worker : workers) {
+            for (const auto& [task, count] : worker->starts())
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(task, 1, count);
+            worker->stop();
+        }
+        std::map<std::string, int> starts;
+        for (const auto& worker : workers) {
+            for (const auto& [task, count] : worker->starts())
+                starts[task] += count;
+        }
+        for (const auto& [task, count] : starts)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(task, 1, count);
+        stop_small_cluster(*entry);
+    }
+
+    // Callers ask for the state of their jobs more often than they submit new ones.
+    void replica_answers_queries() {
+        auto entry = start_small_cluster();
+        const auto entry_address = address(9, callers_port);
+        const std::string body =
+            R"({"Spec":"50","Steps":[{"Count":1,"Cpu":500,"MemMb":64,"EstimateMs":50}]})";
+        call_until(entry_address, job_request("POST", "00000000000000a1", body), 200);
+        const auto leading = leader();
+        CPPUNIT_ASSERT(leading != 0);
+        const auto name = std::string("clementine_queries_answered{}");
+        for (int i = 0; i < 10; ++i) {
+            // Right after the acknowledgement, the replica may not know the job yet.
+            CPPUNIT_ASSERT_EQUAL(
+                200U, call(entry_address, job_request("GET", "00000000000000a1")).status);
+            run_for(30);
+        }
+        CPPUNIT_ASSERT_EQUAL(410U,
+                             call(entry_address, job_request("GET", "00000000000000ff")).status);
+        double answered = 0;
+        for (const auto& [number, node] : nodes_)
+            answered += number == leading ? 0 : metric(metrics_of(number), name);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(answered), answered >= 8);
+        stop_small_cluster(*entry);
+    }
+
     // Six nodes, five of them voters, two tolerated losses. The identity of a lost disk stayed a
     // voter, because no further node was admitted, and two more losses stopped the cluster for
     // good.
--- a/tests/jobs/http_pool_test.cpp
+++ b/tests/jobs/http_pool_test.cpp
@@ -2,6 +2,7 @@
 // longer permitted, and against a wrong timeout.
 #include "control/http_pool.h"
 #include "control/http_server.h"
+#include "support/descriptor_shortage.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
@@ -23,6 +24,10 @@
     CPPUNIT_TEST(response_read_in_parts_is_taken_for_a_silent_server);
     CPPUNIT_TEST(response_that_stops_midway_times_out);
     CPPUNIT_TEST(request_lacks_or_repeats_header);
+    CPPUNIT_TEST(pools_exceed_their_common_limit);
+    CPPUNIT_TEST(start_goes_before_a_lease);
+    CPPUNIT_TEST(idle_connection_of_another_pool_blocks_a_request);
+    CPPUNIT_TEST(request_without_descriptors_fails_as_refused);
     CPPUNIT_TEST_SUITE_END();
 
     boost::asio::io_context loop_{1};
@@ -199,6 +204,99 @@
             CPPUNIT_ASSERT(wait_for([&] { return results_.size() > answered; }));
         }
     }
+
+    std::shared_ptr<http_pool> make_pool(const std::shared_ptr<connection_limit>& limit) {
+        return std::make_shared<http_pool>(
+            loop_, clock_,
+            boost::asio::ip::tcp::endpoint(boost::asio::ip::make_address("127.47.0.20"),
+                                           server_->port()),
+            4, limit);
+    }
+
+    void send(http_pool& pool, std::string target, urgency kind = urgency::start) {
+        http_call call{"POST", std::move(target), {}, "{}"};
+        call.kind = kind;
+        pool.request(std::move(call), 3'000,
+                     [this](const http_result& result) { results_.push_back(result); });
+    }
+
+    // Pools to a thousand workers opened five connections each, which no limit of the process
+    // allowed.
+    void pools_exceed_their_common_limit() {
+        auto limit = std::make_shared<connection_limit>(3);
+        std::vector<std::shared_ptr<http_pool>> pools;
+        for (int i = 0; i < 4; ++i) {
+            pools.push_back(make_pool(limit));
+            send(*pools.back(), "/a");
+            send(*pools.back(), "/b");
+        }
+        CPPUNIT_ASSERT(wait_for([&] { return pending_responses_.size() == 3; }));
+        loop_.run_for(std::chrono::milliseconds(50));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, pending_responses_.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, limit->open());
+        for (std::size_t answered = 0; answered < 8; ++answered) {
+            CPPUNIT_ASSERT(wait_for([&] { return pending_responses_.size() > answered; }));
+            pending_responses_[answered](
+                make_response(boost::beast::http::status::ok, "{}", "application/json"));
+            CPPUNIT_ASSERT(wait_for([&] { return results_.size() > answered; }));
+            // An idle connection is of no use to the other pools.
+            for (const auto& pool : pools)
+                pool->close_idle(clock_.now());
+        }
+        for (const auto& result : results_)
+            CPPUNIT_ASSERT(!result.failure);
+        for (const auto& pool : pools)
+            pool->stop();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, limit->open());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, limit->take_peak());
+    }
+
+    // A lease that is not extended ends running work, so it must not wait behind new starts.
+    void start_goes_before_a_lease() {
+        connection_limit limit(1);
+        std::vector<int> order;
+        CPPUNIT_ASSERT(limit.try_acquire());
+        limit.wait(urgency::start, [&] { order.push_back(1); });
+        limit.wait(urgency::start, [&] { order.push_back(2); });
+        limit.wait(urgency::lease, [&] { order.push_back(3); });
+        for (int i = 0; i < 3; ++i) {
+            limit.release();
+            CPPUNIT_ASSERT(limit.try_acquire());
+        }
+        CPPUNIT_ASSERT(order == (std::vector<int>{3, 1, 2}));
+    }
+
+    // Connections kept for later must not hold up a request that needs one now.
+    void idle_connection_of_another_pool_blocks_a_request() {
+        std::shared_ptr<http_pool> idle;
+        auto limit = std::make_shared<connection_limit>(
+            1, [&] { return idle && idle->close_idle(clock_.now(), 1) > 0; });
+        idle = make_pool(limit);
+        send(*idle, "/a");
+        CPPUNIT_ASSERT(wait_for([&] { return pending_responses_.size() == 1; }));
+        respond_to_last();
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        auto other = make_pool(limit);
+        send(*other, "/b");
+        CPPUNIT_ASSERT(wait_for([&] { return pending_responses_.size() == 2; }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, idle->idle_connections());
+        other->stop();
+        idle->stop();
+    }
+
+    // The request was reported as refused by the worker, which then counted as silent.
+    void request_without_descriptors_fails_as_refused() {
+        {
+            descriptor_shortage shortage;
+            send(3'000);
+            loop_.run_for(std::chrono::milliseconds(100));
+            CPPUNIT_ASSERT(results_.empty());
+        }
+        CPPUNIT_ASSERT(wait_for([&] { return pending_responses_.size() == 1; }));
+        respond_to_last();
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        CPPUNIT_ASSERT(!results_[0].failure);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(http_pool_test);
--- a/tests/process_soak/main.cpp
+++ b/tests/process_soak/main.cpp
@@ -34,6 +34,10 @@
 constexpr time_ms catch_up_time{6'000};
 constexpr unsigned status_ok = 200;
 
+// Less than what connections to workers, entry nodes and operators would take without a budget. The
+// odd seeds of the small size run with it.
+constexpr std::size_t few_open_files = 256;
+
 struct deployment_size {
     int controls = 5;
     int entries = 2;
@@ -64,7 +68,8 @@
     explicit soak(const arguments& options)
         : options_(options), size_(options.large ? large_size : small_size), random_(options.seed),
           fleet_({options.programs, options.folder, network_prefix(options.seed), size_.controls,
-                  size_.entries, size_.tolerated_losses}) {}
+                  size_.entries, size_.tolerated_losses,
+                  options.seed % 2 == 1 && !options.large ? few_open_files : 0}) {}
 
     int run();
 
--- a/tests/process_soak/process_fleet.cpp
+++ b/tests/process_soak/process_fleet.cpp
@@ -8,6 +8,7 @@
 #include <filesystem>
 #include <fstream>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+// The platform keeps as many descriptors of a process for itself.
+constexpr std::size_t platform_descriptors = 200;
 constexpr int first_entry_host_number = 100; // last octet of the first entry node's address
 
 bool is_control(const std::string& name) {
@@ -80,6 +83,8 @@
                           {"Bootstrap", first_start},
                           {"FaultTolerance", {{"Machines", layout_.tolerated_losses}}},
                           {"Bounds", {{"GraceS", 6}, {"StopMs", 400}, {"LeaseMs", 3000}}}};
+    if (is_control(name) && layout_.open_files > 0)
+        settings["Limits"] = {{"MaxFds", layout_.open_files + platform_descriptors}};
     if (is_control(name)) {
         settings["ListenAddrs"] = {{"Control", with_port(ip, control_port)}};
         settings["DataDir"] = layout_.folder + "/" + name;
@@ -110,8 +115,12 @@
     std::array<char*, 2> environment{variable.data(), nullptr};
     pid_t pid = 0;
     if (::posix_spawn(&pid, program.c_str(), &actions, nullptr, arguments.data(),
-                      environment.data()) == 0)
+                      environment.data()) == 0) {
         pids_[name] = pid;
+        const rlimit limit{layout_.open_files, layout_.open_files};
+        if (is_control(name) && layout_.open_files > 0)
+            ::prlimit(pid, RLIMIT_NOFILE, &limit, nullptr);
+    }
     posix_spawn_file_actions_destroy(&actions);
 }
 
--- a/tests/process_soak/process_fleet.h
+++ b/tests/process_soak/process_fleet.h
@@ -23,6 +23,7 @@
     int controls = 5;
     int entries = 2;
     int tolerated_losses = 1;
+    std::size_t open_files = 0; // limit of each control node; 0 for that of this process
 };
 
 class process_fleet {
--- a/tests/wire/channel_test.cpp
+++ b/tests/wire/channel_test.cpp
@@ -101,7 +101,8 @@
     return {protocol_version, "test", node, role, "az-1", new_boot_id(), {}};
 }
 
-const tcp::endpoint loopback_any_port(asio::ip::address_v4::loopback(), 0);
+// An address from which no other program connects, so that a port can be listened on again.
+const tcp::endpoint loopback_any_port(asio::ip::make_address_v4("127.47.9.1"), 0);
 
 std::string read_frame(tcp::socket& socket) {
     std::array<unsigned char, frame_header_bytes> bytes{};
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -114,9 +114,19 @@
             round_trip(core::message{1, 2, 3, core::snapshot_reply{4, 5, true, 6}});
         CPPUNIT_ASSERT(std::get<core::snapshot_reply>(installed_message.body).installed);
         round_trip(core::message{1, 2, 3, core::timeout_now{}});
-        const auto members = round_trip(
-            directory{.leader = "n1", .term = 4, .members = {{7, "n2", true}}, .commit_index = 9});
+        const auto members = round_trip(directory{.leader = "n1",
+                                                  .term = 4,
+                                                  .members = {{7, "n2", true}},
+                                                  .commit_index = 9,
+                                                  .relays = true});
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, members.commit_index);
+        CPPUNIT_ASSERT(members.relays);
+        const auto orders = round_trip(order_batch{.term = 4, .sent_at = 17, .orders = binary});
+        CPPUNIT_ASSERT(orders.term == 4 && orders.sent_at == 17 && orders.orders == binary);
+        CPPUNIT_ASSERT_EQUAL(binary, round_trip(result_batch{binary}).results);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, round_trip(read_request{6}).sequence);
+        const auto read = round_trip(read_index{7, 8});
+        CPPUNIT_ASSERT(read.sequence == 7 && read.index == 8);
         CPPUNIT_ASSERT(members.members == (std::vector<core::member>{{7, "n2", true}}));
     }
 
