Round over what changed, jobs found by hash, upkeep spared in a shortage

The wave took 169 idle VMs down at once in the first surge, which lacked them. Change: views of open jobs that are recomputed when an operation changes the job (controller::refresh_views); a hash index in job_table; idle VMs go down ahead of time only while no pool lacks capacity, and the wave is planned for 0.7 of its duration.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -42,6 +42,8 @@
     leading_since_ = now;
     inherit_runs(now);
     inherit_load(now, wall);
+    for (const auto& [id, item] : table_.open_jobs())
+        changed_jobs_.insert(id);
     vms_.start_leading(fence, now, wall);
 }
 
@@ -51,6 +53,9 @@
     worker_by_address_.clear();
     old_lives_.clear();
     starting_.clear();
+    views_.clear();
+    changed_jobs_.clear();
+    scheduled_jobs_.clear();
     expected_starts_.clear();
     failed_on_.clear();
     advice_.clear();
@@ -273,6 +278,7 @@
             vms_.applied(*announced, value.proposed_at, now, wall);
         if (!leading())
             continue;
+        note_changed_job(item);
         if (const auto* start = std::get_if<start_run>(&item))
             record_first_start(start->task.job, now);
         // The runs of a job that has ended are no longer wanted.
@@ -290,6 +296,22 @@
     }
 }
 
+// Marks the views of the jobs that an operation concerns as out of date.
+void controller::note_changed_job(const operation& value) {
+    std::visit(
+        [this](const auto& op) {
+            using type = std::decay_t<decltype(op)>;
+            if constexpr (requires { op.task.job; })
+                changed_jobs_.insert(op.task.job);
+            else if constexpr (std::is_same_v<type, submit_job> || std::is_same_v<type, cancel_job>)
+                changed_jobs_.insert(op.id);
+            else if constexpr (std::is_same_v<type, put_configuration>)
+                for (const auto& [id, item] : table_.open_jobs())
+                    changed_jobs_.insert(id);
+        },
+        value);
+}
+
 // Requests a review of all workers with runs of a job.
 void controller::request_review(const job& changed) {
     for (const auto& in : changed.occurrences) {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -50,6 +50,7 @@
 // Event counts since the process started.
 struct controller_counters {
     std::uint64_t starts = 0;             // orders to start a run
+    std::uint64_t placed_tasks = 0;       // starts proposed to the log
     std::uint64_t placement_searches = 0; // of a pool for one task
     std::uint64_t candidates_checked = 0; // workers looked at in them
     std::uint64_t runs_reviewed = 0;
@@ -126,9 +127,18 @@
         bool long_running = false;
         bool too_late = false; // cannot meet its latency target any more, by its estimates
         bool started = false;
+        std::uint32_t unplaced = 0; // tasks without a worker
         time_ms slack{0};
     };
 
+    // What the rounds need to know of an open job, until an operation changes the job.
+    struct job_view {
+        const queue_config* queue = nullptr; // nullptr if it was removed
+        time_ms due{0};                      // wall clock, less the remaining critical path
+        time_ms critical_path{0};
+        std::vector<ready_step> steps; // ready, with tasks that wait
+    };
+
     // Answers of the advice service for one step.
     struct advice {
         std::map<worker_ref, std::string> tickets;
@@ -159,18 +169,21 @@
     void review_workers(time_ms now);
     void review_runs(worker& target, time_ms now);
     void request_review(const job& changed);
+    void note_changed_job(const operation& value);
     void review_run(worker& target, live_run& run, time_ms now);
     bool is_current(const worker& target, const live_run& run) const;
     void issue_start(worker& target, live_run& run, time_ms now);
     void issue_stop(worker& target, live_run& run, time_ms now);
     void issue_holds(time_ms now);
-    std::vector<ready_step> ready_steps(time_ms wall) const;
+    std::vector<ready_step> ready_steps(time_ms wall);
+    void refresh_views(time_ms wall);
+    job_view view_of(const job& item, time_ms wall) const;
+    std::uint32_t count_starting(const ready_step& item) const;
     void place(time_ms now, time_ms wall);
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
     void end_life_on_vm(const std::string& vm, order_effect effect, time_ms now);
     void end_vanished_life(const vm_report& listed, time_ms asked_at);
-    bool is_waiting(const ready_step& item) const;
     bool is_starting(const ready_step& item) const;
     static void reserve_room(const ready_step& item, std::vector<worker*>& pool);
     void place_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
@@ -197,6 +210,9 @@
     std::map<std::string, std::int64_t> blocked_cpu_; // by pool; see pool_demand::blocked
     std::map<task_id, advice> advice_;                // by the first task of the step
     int pending_advice_calls_ = 0;
+    std::map<std::string, job_view> views_;        // open jobs with ready steps, by id
+    std::set<std::string> changed_jobs_;           // whose view is out of date
+    std::set<std::string> scheduled_jobs_;         // open jobs that become ready with time
     std::set<task_id> starting_;                   // starts proposed to the log and not committed
     std::map<task_id, std::string> failed_on_;     // worker on which the task failed last
     std::map<std::string, double> estimate_rates_; // by queue: ratio of actual to estimated time
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -22,49 +22,70 @@
 
 } // namespace
 
-std::vector<controller::ready_step> controller::ready_steps(time_ms wall) const {
-    std::vector<ready_step> out;
-    for (const auto& [id, open] : table_.open_jobs()) {
-        const auto& item = *open;
-        if (item.ended())
+controller::job_view controller::view_of(const job& item, time_ms wall) const {
+    job_view out;
+    out.queue = table_.config().find_queue(item.queue);
+    for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
+        const auto& in = item.occurrences[k];
+        if (item.spec.times > 0 && wall < item.spec.start_at + k * item.spec.interval)
+            break;
+        if (in.done())
             continue;
-        const queue_config* queue = nullptr;
-        double rate = 1.0;
-        bool first = true;
-        time_ms slack = 0;
-        time_ms critical_path = 0;
-        for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
-            const auto& in = item.occurrences[k];
-            if (item.spec.times > 0 && wall < item.spec.start_at + k * item.spec.interval)
-                break;
-            if (in.done())
+        for (std::uint32_t s = 0; s < in.steps.size(); ++s) {
+            if (in.steps[s].waiting == 0 || !dependencies_done(item.spec, in, s))
+                continue;
+            ready_step step;
+            step.owner = &item;
+            step.queue = out.queue;
+            step.occurrence = k;
+            step.step = s;
+            step.long_running = item.spec.steps[s].long_running;
+            step.started = item.state == job_state::active;
+            step.unplaced = in.steps[s].waiting - count_starting(step);
+            out.steps.push_back(step);
+        }
+    }
+    if (out.steps.empty())
+        return out;
+    const auto rate = estimate_rate(item.queue);
+    out.critical_path = critical_path_length(item.spec, rate);
+    const auto allowed_time =
+        (out.queue ? out.queue->stretch : 1.0) * static_cast<double>(out.critical_path);
+    out.due = item.accepted_at + (out.queue ? out.queue->target_latency : 0) +
+              static_cast<time_ms>(allowed_time) - remaining_critical_path_length(item, rate);
+    return out;
+}
+
+// Load pattern: hundreds of jobs are open in a surge, of which each round changes a few.
+void controller::refresh_views(time_ms wall) {
+    changed_jobs_.insert(scheduled_jobs_.begin(), scheduled_jobs_.end());
+    for (const auto& id : std::exchange(changed_jobs_, {})) {
+        const auto* item = table_.find_job(id);
+        if (!item || item->ended()) {
+            views_.erase(id);
+            scheduled_jobs_.erase(id);
+            continue;
+        }
+        if (item->spec.times > 0)
+            scheduled_jobs_.insert(id);
+        auto view = view_of(*item, wall);
+        if (view.steps.empty())
+            views_.erase(id);
+        else
+            views_.insert_or_assign(id, std::move(view));
+    }
+}
+
+std::vector<controller::ready_step> controller::ready_steps(time_ms wall) {
+    refresh_views(wall);
+    std::vector<ready_step> out;
+    for (const auto& [id, view] : views_) {
+        for (auto step : view.steps) {
+            if (step.unplaced == 0 && !(view.queue && view.queue->needs_placement_advice))
                 continue;
-            for (std::uint32_t s = 0; s < in.steps.size(); ++s) {
-                if (in.steps[s].waiting == 0)
-                    continue;
-                const auto& spec = item.spec.steps[s];
-                if (!dependencies_done(item.spec, in, s))
-                    continue;
-                if (std::exchange(first, false)) {
-                    queue = table_.config().find_queue(item.queue);
-                    rate = estimate_rate(item.queue);
-                    critical_path = critical_path_length(item.spec, rate);
-                    const auto due = item.accepted_at + (queue ? queue->target_latency : 0) +
-                                     static_cast<time_ms>((queue ? queue->stretch : 1.0) *
-                                                          static_cast<double>(critical_path));
-                    slack = due - wall - remaining_critical_path_length(item, rate);
-                }
-                ready_step step;
-                step.owner = &item;
-                step.queue = queue;
-                step.occurrence = k;
-                step.step = s;
-                step.long_running = spec.long_running;
-                step.started = item.state == job_state::active;
-                step.slack = slack;
-                step.too_late = !spec.long_running && slack < 0;
-                out.push_back(step);
-            }
+            step.slack = view.due - wall;
+            step.too_late = !step.long_running && step.slack < 0;
+            out.push_back(step);
         }
     }
     const auto rank = [](const ready_step& step) {
@@ -89,6 +110,8 @@
     added.checkpoint = item.checkpoint;
     target.add(std::move(added));
     starting_.insert(id);
+    ++counters_.placed_tasks;
+    changed_jobs_.insert(id.job);
     pending_decisions_.log.emplace_back(start_run{id, run, target.ref, target.address});
 }
 
@@ -114,6 +137,18 @@
            it->job == item.owner->id;
 }
 
+// Number of tasks of the step whose starts wait for their commit.
+std::uint32_t controller::count_starting(const ready_step& item) const {
+    std::uint32_t out = 0;
+    const task_id first{item.owner->id, item.occurrence, item.step, 0};
+    for (auto it = starting_.lower_bound(first);
+         it != starting_.end() && it->step == item.step && it->occurrence == item.occurrence &&
+         it->job == item.owner->id;
+         ++it)
+        ++out;
+    return out;
+}
+
 // `largest_cpu` is the processor of the largest worker.
 void controller::place_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
                             time_ms now) {
@@ -144,9 +179,10 @@
             if (!unplaceable && is_limited_by_room(spec))
                 pool.unplaceable.push_back(need);
             const auto waiting_tasks =
-                std::ranges::count_if(tasks.begin() + i, tasks.end(), [](const task& one) {
-                    return one.phase == task_phase::waiting;
-                });
+                unplaceable ? static_cast<std::ptrdiff_t>(item.unplaced)
+                            : std::count_if(tasks.begin() + i, tasks.end(), [](const task& one) {
+                                  return one.phase == task_phase::waiting;
+                              });
             blocked_cpu_[pool_of(*item.owner)] +=
                 waiting_tasks * effective_cpu(need.cpu, largest_cpu);
             return;
@@ -197,6 +233,8 @@
     for (const auto& [target, key] : placed) {
         target->remove(key);
         starting_.erase(key.first);
+        --counters_.placed_tasks;
+        changed_jobs_.insert(key.first.job);
     }
     pool.sort();
     return false;
@@ -205,10 +243,7 @@
 void controller::place(time_ms now, time_ms wall) {
     const auto steps = ready_steps(wall);
     blocked_cpu_.clear();
-    // Until starts are committed, steps stay ready with nothing left to place.
-    if (std::ranges::none_of(steps, [this](const ready_step& item) {
-            return is_waiting(item) || (item.queue && item.queue->needs_placement_advice);
-        }))
+    if (steps.empty())
         return;
     std::map<std::string, candidate_pool> pools;
     std::int64_t largest_cpu = 0;
@@ -219,8 +254,6 @@
     }
     std::set<const candidate_pool*> sorted;
     for (const auto& item : steps) {
-        if (!is_waiting(item) && !(item.queue && item.queue->needs_placement_advice))
-            continue;
         auto& pool = pools[item.queue ? item.queue->pool : item.owner->pool];
         if (sorted.insert(&pool).second)
             pool.sort();
@@ -233,24 +266,13 @@
             pool.sort();
             continue;
         }
+        const auto placed_before = counters_.placed_tasks;
         place_ready_step(item, pool, largest_cpu, now);
-        if (item.long_running && is_waiting(item))
+        if (item.long_running && counters_.placed_tasks - placed_before < item.unplaced)
             reserve_room(item, pool.workers);
     }
 }
 
-// True if tasks of the step have no worker yet.
-bool controller::is_waiting(const ready_step& item) const {
-    const auto& progress = item.owner->occurrences[item.occurrence].steps[item.step];
-    if (!is_starting(item))
-        return progress.waiting > 0;
-    task_id id{item.owner->id, item.occurrence, item.step, 0};
-    return std::ranges::any_of(progress.tasks, [&](const task& one) {
-        id.index = static_cast<std::uint32_t>(&one - progress.tasks.data());
-        return one.phase == task_phase::waiting && !starting_.contains(id);
-    });
-}
-
 // Excludes the worker with the most free processor from short tasks in this round, so that enough
 // capacity becomes free for a long-running task.
 void controller::reserve_room(const ready_step& item, std::vector<worker*>& pool) {
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -374,6 +374,7 @@
         if (!start)
             continue;
         starting_.erase(start->task);
+        changed_jobs_.insert(start->task.job);
         auto* target = worker_of(start->worker);
         auto* run = target ? target->find(start->task, start->run) : nullptr;
         if (!accepted[i]) {
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -564,6 +564,7 @@
         if (!in.finished())
             return false;
     }
+    loaded.rebuild_index();
     *this = std::move(loaded);
     return true;
 }
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -55,8 +55,14 @@
 }
 
 const job* job_table::find_job(std::string_view id) const {
-    const auto it = jobs_.find(id);
-    return it == jobs_.end() ? nullptr : &it->second;
+    const auto it = index_.find(id);
+    return it == index_.end() ? nullptr : it->second;
+}
+
+void job_table::rebuild_index() {
+    index_.clear();
+    for (auto& [id, item] : jobs_)
+        index_.emplace(id, &item);
 }
 
 const task* job_table::find_task(const task_id& id) const {
@@ -65,10 +71,10 @@
 }
 
 task* job_table::task_of(const task_id& id, job** owner) {
-    const auto it = jobs_.find(id.job);
-    const auto* found = it == jobs_.end() ? nullptr : workload::find_task(it->second, id);
+    const auto it = index_.find(id.job);
+    const auto* found = it == index_.end() ? nullptr : workload::find_task(*it->second, id);
     if (found)
-        *owner = &it->second;
+        *owner = it->second;
     return const_cast<task*>(found); // NOLINT: shared look-up
 }
 
@@ -86,9 +92,11 @@
 }
 
 bool job_table::apply_operation(const submit_job& op) {
-    if (jobs_.contains(op.id))
+    const auto [it, is_new] = jobs_.try_emplace(op.id);
+    if (!is_new)
         return true;
-    auto& added = jobs_[op.id];
+    auto& added = it->second;
+    index_.emplace(it->first, &added);
     added.id = op.id;
     added.queue = op.queue;
     added.pool = op.pool;
@@ -272,8 +280,9 @@
 void job_table::drop_expired() {
     while (!ended_.empty() && ended_.begin()->first + ended_job_retention < now_) {
         for (const auto& id : ended_.begin()->second) {
-            jobs_.erase(id);
             open_.erase(id);
+            index_.erase(id);
+            jobs_.erase(id);
         }
         ended_.erase(ended_.begin());
     }
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -211,7 +212,12 @@
 
     configuration config_;
     unfinished_operation unfinished_;
+    void rebuild_index();
+
     std::map<std::string, job, std::less<>> jobs_;
+    // Finds a job by its id. Points into `jobs_`, whose nodes never move. Load pattern: each start
+    // and end of a run looks up its job several times.
+    std::unordered_map<std::string_view, job*> index_;
     std::map<std::string, const job*> open_; // points into `jobs_`, whose nodes never move
     std::map<time_ms, std::vector<std::string>> ended_; // ids by end time
     std::map<std::uint64_t, wave> waves_;
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -29,8 +29,9 @@
 constexpr time_ms standby_delay{1'500};
 // A VM that has come back is reported by its worker within this time.
 constexpr time_ms return_delay{1'000};
-// Part of a wave's duration that is planned for; the rest is for VMs that come back late.
-constexpr double usable_wave_time = 0.8;
+// Part of a wave's duration that is planned for; the rest is for VMs that come back late, and for
+// those whose tasks cannot be spared before others are back.
+constexpr double usable_wave_time = 0.7;
 // A VM that is not listed for this long was removed; crashed VMs are back within 10 s.
 constexpr time_ms unlisted_limit{15'000};
 // Shorter if its worker announced its shutdown: the VM was drained for removal.
@@ -422,9 +423,12 @@
         if (down >= item.order.max_down)
             return;
         auto* vm_worker = vm->vm_worker;
-        if (vm_worker && !vm_worker->runs.empty()) {
-            if (down >= concurrent_vms_needed)
-                return;
+        const bool has_runs = vm_worker && !vm_worker->runs.empty();
+        // Load pattern: a wave over two fifths of the fleet begins in a surge. Idle VMs go down
+        // ahead of time only while no pool needs them.
+        if ((has_runs || shortage_) && down >= concurrent_vms_needed)
+            return;
+        if (has_runs) {
             if (!vm_worker->contacted || vm_worker->hold_unanswered)
                 continue;
             ++down;
@@ -561,6 +565,7 @@
             shortages[pool] -= cpu;
         order_move(*item, pool, now, log);
     }
+    shortage_ = std::ranges::any_of(shortages, [](const auto& one) { return one.second > 0; });
 }
 
 void vm_manager::decide(worker_map& workers, const std::map<std::string, pool_demand>& demand,
--- a/src/workload/vm_manager.h
+++ b/src/workload/vm_manager.h
@@ -131,6 +131,7 @@
     // VMs that another node announced orders about, with the latest possible time of the
     // announcement.
     std::map<std::string, time_ms> announced_by_others_;
+    bool shortage_ = false; // the last plan left a pool without the capacity that it wants
     bool list_under_way_ = false;
     time_ms listed_at_{0};
     time_ms first_listed_at_{0}; // first list read by this leader
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -565,6 +565,7 @@
     specs_.emplace(id, spec);
     command value{now_, {submit_job{id, queue, config.pool, config.attempts, std::move(spec)}}};
     table_.apply(value, term_);
+    controller_->applied(value, now_, now_);
     return true;
 }
 
