Spell two loops so that clang accepts them

Cause: clang 14 with libstdc++ 12 rejects std::ranges::subrange over a const vector and a captured structured binding. Change: a plain iterator loop; a named capture.

--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -112,9 +112,13 @@
     worker* best = nullptr;
     auto best_cost = std::numeric_limits<std::int64_t>::max();
     const bool prefers_full = !step.best_effort && !step.long_running;
-    const auto first = std::ranges::lower_bound(
-        pool.workers, need.cpu, {}, [](const worker* item) { return item->free().cpu; });
-    for (auto* candidate : std::ranges::subrange(first, pool.workers.end())) {
+    const auto has_less = [](const worker* item, std::int64_t cpu) {
+        return item->free().cpu < cpu;
+    };
+    const auto& workers = pool.workers;
+    auto it = std::lower_bound(workers.begin(), workers.end(), need.cpu, has_less);
+    for (; it != workers.end(); ++it) {
+        auto* candidate = *it;
         ++checked;
         // All others have more free processor, which costs more.
         if (prefers_full && best && candidate->free().cpu - need.cpu >= best_cost)
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -478,7 +478,7 @@
     pools_logged_at_ = now;
     for (const auto& [pool, one] : demand) {
         const auto it = supply.find(pool);
-        const auto idle = std::ranges::count_if(vms_, [&](const auto& entry) {
+        const auto idle = std::ranges::count_if(vms_, [&pool = pool](const auto& entry) {
             return entry.second.idle_since != 0 && entry.second.report.pool == pool;
         });
         log_event(log_level::info, "pool_state")
