Count tasks on draining workers as unavailable before they are stopped

Ruled out: leases (0 lapsed), unclear VM orders (their runs are marked to be stopped when the order is planned). Change: tasks on a worker that drains or whose VM was ordered away count as unavailable; they are stopped 400 ms after the leader learnt of it, when an earlier upkeep order has been carried out. The fake fleet now checks stops as well and counts tasks that an order ended as away at once.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -178,6 +178,8 @@
     item.rack = label_at(report.labels, 1);
     item.capacity = report.capacity;
     item.draining = item.draining || report.draining;
+    if (item.draining && item.draining_since == 0)
+        item.draining_since = now;
     item.reported = true;
     item.reported_at = now;
     if (!item.contacted && item.clock_seen_at == 0) {
@@ -196,6 +198,8 @@
     vms_.observe_leaving(id);
     it->second.leaving = true;
     it->second.draining = true;
+    if (it->second.draining_since == 0)
+        it->second.draining_since = now;
     it->second.review_due = true;
     it->second.leaving_since = now;
     it->second.next_hold_at = now;
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -34,6 +34,9 @@
 // Weight of a new sample in the moving average of the time to start a run.
 constexpr double start_latency_weight = 0.02;
 constexpr double max_estimate_rate = 2.5;
+// Tasks on a draining worker count as unavailable at once, and are stopped after this time: an
+// upkeep that was ordered before may still be on its way.
+constexpr time_ms evacuation_delay{400};
 // Refused connections after which a worker that announced its shutdown, or whose VM was ordered
 // away, counts as ended.
 constexpr int refusals_before_end = 2;
@@ -447,7 +450,8 @@
         return;
     if (!run.stop_wanted && !is_current(target, run))
         run.stop_wanted = true;
-    if (!run.stop_wanted && target.draining && run.long_running && run.stage == run_stage::listed) {
+    if (!run.stop_wanted && target.draining && run.long_running && run.stage == run_stage::listed &&
+        now - target.draining_since >= evacuation_delay) {
         log_event(log_level::info, "run_evacuated")
             .field("job", run.task.job)
             .field("index", run.task.index)
@@ -495,9 +499,10 @@
     counters_.runs_reviewed += target.runs.size();
     for (auto& [key, run] : target.runs) {
         review_run(target, run, now);
-        target.review_due =
-            target.review_due || run.stop_wanted || run.stage == run_stage::ordered ||
-            (!run.long_running && run.lists_without_progress >= min_lists_without_progress);
+        const bool no_progress =
+            !run.long_running && run.lists_without_progress >= min_lists_without_progress;
+        if (run.stop_wanted || run.stage == run_stage::ordered || no_progress || target.draining)
+            target.review_due = true;
     }
 }
 
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -55,8 +55,10 @@
 count_available_tasks(const std::map<std::string, worker>& workers) {
     std::map<step_key, std::uint32_t> out;
     for (const auto& [id, item] : workers) {
-        // Runs last listed by a silent worker may have ended since.
-        if (item.long_running_runs == 0 || !item.contacted || item.hold_unanswered)
+        // Runs last listed by a silent worker may have ended since, and those of a worker that
+        // drains or whose VM was ordered away are about to end.
+        if (item.long_running_runs == 0 || !item.contacted || item.hold_unanswered ||
+            item.draining || item.ordered_away_at != 0)
             continue;
         for (const auto& [key, run] : item.runs) {
             if (is_available(run))
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -82,9 +82,10 @@
     bool reported = false;  // announced itself to this leader
     bool contacted = false; // answered a hold of this leader
     bool draining = false;
-    bool reserved = false;   // its VM is about to move or to go down
-    bool upkeep_due = false; // its VM will go down in a wave
-    bool leaving = false;    // it announced its shutdown, or its VM was ordered away
+    time_ms draining_since{0}; // when this leader learnt of it; 0 if it does not drain
+    bool reserved = false;     // its VM is about to move or to go down
+    bool upkeep_due = false;   // its VM will go down in a wave
+    bool leaving = false;      // it announced its shutdown, or its VM was ordered away
     time_ms leaving_since{0};
     // Time of an order that ended this life unless it had been carried out before; 0 if none.
     time_ms ordered_away_at{0};
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -163,9 +163,10 @@
             for (std::uint32_t i = 0;
                  owner.spec.steps[s].long_running && i < owner.spec.steps[s].count; ++i) {
                 const task_id task{id, 0, s, i};
-                if (available_tasks.contains(task))
+                if (available_tasks.contains(task)) {
                     unavailable_since_.erase(task);
-                else
+                    ended_by_order_.erase(task);
+                } else
                     unavailable_since_.try_emplace(task, now_);
             }
         }
@@ -281,7 +282,7 @@
                 advise(item);
             else if constexpr (std::is_same_v<type, move_order> ||
                                std::is_same_v<type, upkeep_order>)
-                schedule(now_ + link_delay, [this, item] { call_vm(item); });
+                schedule(now_ + options_.vm_order_time, [this, item] { call_vm(item); });
             else
                 call_worker(item);
         },
@@ -444,6 +445,7 @@
     for (auto& run : target.runs) {
         if (run.task != value.task || run.run != value.run || run.stop_at != 0)
             continue;
+        check_stop(target, run);
         run.stop_at = now_ + stop_duration;
     }
     return order_answer::done;
@@ -453,6 +455,23 @@
     return accept_fence(target, value.fence) ? order_answer::done : order_answer::fenced;
 }
 
+bool fake_fleet::is_at_work(const fake_run& run) const {
+    return run.long_running && run.stop_at == 0 && now_ - run.started >= start_up_time;
+}
+
+// Number of other tasks of the step that an order has ended, or that have been away for long.
+std::uint32_t fake_fleet::count_away(const task_id& task) const {
+    std::uint32_t away = 0;
+    for (std::uint32_t i = 0; i < specs_.at(task.job).steps[task.step].count; ++i) {
+        const task_id other{task.job, task.occurrence, task.step, i};
+        const auto down = unavailable_since_.find(other);
+        const bool for_long =
+            down != unavailable_since_.end() && now_ - down->second >= failure_notice_time;
+        away += i != task.index && (for_long || ended_by_order_.contains(other)) ? 1U : 0U;
+    }
+    return away;
+}
+
 // Checks that a VM order ends no long-running task while too many others of its step are
 // unavailable.
 void fake_fleet::check_availability(const fake_worker& target, const char* by) {
@@ -464,18 +483,28 @@
         const auto& spec = spec_of(run.task);
         if (spec.max_unavailable == 0)
             continue;
-        std::uint32_t away = ending[{run.task.job, run.task.step}]++;
-        for (std::uint32_t i = 0; i < spec.count; ++i) {
-            const task_id other{run.task.job, run.task.occurrence, run.task.step, i};
-            const auto down = unavailable_since_.find(other);
-            if (i != run.task.index && down != unavailable_since_.end() &&
-                now_ - down->second >= failure_notice_time)
-                ++away;
-        }
+        const auto away = ending[{run.task.job, run.task.step}]++ + count_away(run.task);
         if (away >= spec.max_unavailable)
             violation(name_of(run.task) + " is ended by " + by + " while " + std::to_string(away) +
                       " others are away");
     }
+    for (const auto& run : target.runs) {
+        if (is_at_work(run))
+            ended_by_order_.insert(run.task);
+    }
+}
+
+// As above, for the stop of one run.
+void fake_fleet::check_stop(const fake_worker& target, const fake_run& run) {
+    const auto* owner = table_.find_job(run.task.job);
+    if (!is_at_work(run) || !owner || owner->ended())
+        return;
+    const auto& spec = spec_of(run.task);
+    if (!target.draining && spec.max_unavailable != 0 &&
+        count_away(run.task) >= spec.max_unavailable)
+        violation(name_of(run.task) + " is stopped while " + std::to_string(count_away(run.task)) +
+                  " others are away");
+    ended_by_order_.insert(run.task);
 }
 
 template <class Order>
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -71,6 +71,7 @@
     bool forecast_turns = true;  // VMs move ahead of expected surges
     bool advice = false;         // queue qa needs placement advice
     double late_order_share = 0; // orders unanswered and carried out 2 to 12 s late
+    time_ms vm_order_time{1};    // until the platform carries out an order about a VM
     double vm_answer_loss = 0;   // share of VM orders that are carried out without an answer
     double commit_loss = 0;      // share of a replaced leader's commands that are not committed
 };
@@ -106,6 +107,8 @@
     double mean_round_us() const;
     // Drains the worker's VM and removes it after `span`.
     void decommission(const std::string& worker, time_ms span);
+    // Announces a worker at once, as it does when it begins to drain.
+    void announce_now(const std::string& worker) { announce(workers_.at(worker)); }
     int declined_orders() const { return declined_orders_; } // VM orders answered as busy
     // Applies an announcement made by another node.
     void announce_from_other_node(const std::string& vm, const std::string& node);
@@ -145,6 +148,9 @@
     bool accept_fence(fake_worker& target, std::uint64_t fence);
     void check_start(const fake_worker& target, const start_order& value);
     void check_availability(const fake_worker& target, const char* by);
+    void check_stop(const fake_worker& target, const fake_run& run);
+    std::uint32_t count_away(const task_id& task) const;
+    bool is_at_work(const fake_run& run) const;
     const step_spec& spec_of(const task_id& id) const;
     void violation(const std::string& text);
 
@@ -162,6 +168,7 @@
     std::set<task_id> logged_ends_;                // tasks whose successful end is in the log
     std::map<std::string, job_spec> specs_;        // of all submitted jobs
     std::map<task_id, time_ms> unavailable_since_; // of long-running tasks, any cause
+    std::set<task_id> ended_by_order_;             // of those, ended by a stop or a VM order
     int next_worker_ = 0;
     int next_port_ = 1;
     int moves_ = 0;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(long_running_tasks_are_placed_in_full_pool);
     CPPUNIT_TEST(upkeep_counts_tasks_on_silent_workers_as_unavailable);
     CPPUNIT_TEST(wave_completes_in_time);
+    CPPUNIT_TEST(upkeep_spares_tasks_beside_a_draining_worker);
     CPPUNIT_TEST(wave_waits_while_vms_are_not_listed);
     CPPUNIT_TEST(wave_skips_decommissioned_vm);
     CPPUNIT_TEST(vms_move_to_surging_pool);
@@ -141,6 +142,36 @@
         assert_no_violations(fleet);
     }
 
+    // A worker announced that it drains while the VM of another task of the step was ordered down,
+    // so that both were away at once where one may be.
+    void upkeep_spares_tasks_beside_a_draining_worker() {
+        for (time_ms delay = 0; delay < 400; delay += 10) {
+            fleet_options options;
+            options.vm_order_time = 150;
+            fake_fleet fleet(options);
+            fleet.run_for(2'500);
+            CPPUNIT_ASSERT(
+                fleet.submit("qa", id_of(1), one_step(make_long_running_step(4, 9'000, 1))));
+            fleet.run_for(4'500);
+            std::string leaving;
+            wave_order order{1, {}, 6'000, 2};
+            for (const auto& [id, item] : fleet.workers()) {
+                if (item.runs.empty())
+                    continue;
+                if (leaving.empty())
+                    leaving = id;
+                else
+                    order.vms.push_back(item.vm);
+            }
+            fleet.order_wave(order);
+            fleet.run_for(delay);
+            fleet.decommission(leaving, 5'000);
+            fleet.announce_now(leaving);
+            fleet.run_for(8'000);
+            assert_no_violations(fleet);
+        }
+    }
+
     // A VM that the platform no longer lists needs no maintenance, but while no list can be read
     // its state is unknown.
     void wave_waits_while_vms_are_not_listed() {
