--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -156,6 +156,12 @@
                                          .forecast_turns = false,
                                          .period = turn_length,
                                          .duration = turns_time});
+    // The first cycles, in which the order is not known yet.
+    const auto first_turns = run_surges({.period = turn_length});
+    const auto fixed_first =
+        run_surges({.vm_orders = false, .forecast_turns = false, .period = turn_length});
+    print("first 24 s of turns, forecast", first_turns);
+    print("first 24 s of turns, fixed pools", fixed_first);
     print("turns of 4 s, forecast", expected);
     print("turns of 4 s, moves at the rise", followed);
     print("turns of 4 s, fixed pools", fixed_turns);
@@ -180,6 +186,7 @@
     bound("moving against fixed pools", moving.on_time > fixed.on_time);
     bound("turns: forecast against moves at the rise", expected.on_time > followed.on_time);
     bound("turns: forecast against fixed pools", expected.on_time > fixed_turns.on_time);
+    bound("first turns: forecast against fixed pools", first_turns.on_time > fixed_first.on_time);
     bound("workers checked per start", large.checks_per_start <= max_checks_per_start);
     bound("runs reviewed per start", large.reviews_per_start <= max_reviews_per_start);
     return ok ? 0 : 1;
