--- a/review/2/case.py
+++ b/review/2/case.py
@@ -15,7 +15,7 @@
 
 
 async def case(record, trouble):
-    fleet = Fleet(HERE, record)
+    fleet = Fleet(record)
     proxies, minions = [], []
     try:
         await fleet.start_all()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 
 
 async def case(record, trouble):
-    fleet = Fleet(HERE, record)
+    fleet = Fleet(record)
     try:
         await fleet.start_all()
         minions = [Minion(fleet.world, fleet, f"i-{i}", fleet.service, fleet.minion_ip(i)) for i in range(2)]
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -12,7 +12,7 @@
 
 
 async def case(record, trouble):
-    fleet = Fleet(HERE, record)
+    fleet = Fleet(record)
     ended = {}
 
     def restart_ended():
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -1,6 +1,18 @@
 """Stand-ins for a small deployment on loopback: the programs as processes, and minions, platform,
 operator and clients that speak the users' pages. Uses the standard library only."""
-import asyncio, json, os, random, shutil, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+import traceback
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 BOUNDS = {"SeedLagS": 3, "AddrReuseS": 2, "ConnectivityWindowMs": 3000, "AckMs": 4000, "CatchUpS": 4,
@@ -49,8 +61,7 @@
 
 
 class Server:
-    """HTTP/1.1 server with kept connections. `handle` returns (status, object or None), or None to
-    give no answer at all (the connection stays open)."""
+    """HTTP/1.1 server with kept connections. `handle` returns (status, object or None)."""
 
     def __init__(self, ip, port, handle):
         self.ip, self.port, self.handle = ip, port, handle
@@ -67,10 +78,7 @@
                 if message is None:
                     break
                 method, target, _ = message[0].split(" ", 2)
-                answer = await self.handle(method, target, message[1], message[2])
-                if answer is None:
-                    await asyncio.sleep(3600)
-                await self.write(writer, *answer)
+                await self.write(writer, *await self.handle(method, target, message[1], message[2]))
         except (ConnectionError, asyncio.IncompleteReadError, ValueError):
             pass
         finally:
@@ -227,8 +235,7 @@
         self.record, self.minions = record, {}
         self.starts = []        # (ms, task, run, minion life, checkpoint)
         self.ends = []          # (ms, task, run, minion life, how)
-        self.on_start = lambda *a: None
-        self.double = []        # (ms, task, [(life, run)...])
+        self.double = []        # (ms, task, [(life, run)...]): two runs of a task at once
 
     def running(self, task):
         return [(m.life, r.number) for m in self.minions.values() if m.up
@@ -245,12 +252,11 @@
     """One machine's minion. The spec of a job is JSON: ms (work of a task), lasts (true: until it is stopped), fail (true: fails at
     the end), gang (tasks in the gang), save (ms of work between checkpoints)."""
 
-    def __init__(self, world, fleet, ident, service, ip, cpu=16000, announce=None, start_delay=0.0):
+    def __init__(self, world, fleet, ident, service, ip, cpu=16000, announce=None):
         self.world, self.fleet, self.id, self.service, self.ip = world, fleet, ident, service, ip
         self.cpu, self.announce = cpu, announce
         self.lives, self.up, self.tasks = 0, False, []
         self.state, self.beats_on = "ready", True
-        self.start_delay = start_delay
         world.minions[ident] = self
 
     @property
@@ -402,8 +408,6 @@
             if "UntilMs" in value:
                 self.lease = max(self.lease, min(value["UntilMs"], self.clock() + BOUNDS["HoldMaxMs"]))
         if target == "/clementineroad/run-start":
-            if self.start_delay:
-                await asyncio.sleep(self.start_delay)
             task, number = value["Task"], value["Run"]
             if (task, number) in self.runs:
                 extend()
@@ -467,12 +471,11 @@
 class Fleet:
     """The programs as processes, and the platform's list of machines."""
 
-    def __init__(self, folder, record, controls=3, entries=1):
+    def __init__(self, record, controls=3, entries=1):
         self.record = record
         self.data = tempfile.mkdtemp(prefix="review-")
-        self.folder = folder
         self.net = f"127.{random.randrange(20, 120)}.{random.randrange(1, 250)}"
-        self.processes, self.exits = {}, []
+        self.processes = {}
         taken = set()
         base = self.net + ".1"
         self.front, self.ready, self.control_port, self.minion_port, self.cloud_port = (
@@ -482,9 +485,8 @@
         self.edges = [f"edge-{i}" for i in range(entries)]
         self.bootstrap = True
         self.world = World(record)
-        self.version, self.wave = 0, None
+        self.version = 0
         self.service, self.host, self.prefix = "svc-a", "a.example", "/q/"
-        self.moving = {}
 
     def ip(self, node):
         kind, index = node.split("-")
@@ -637,20 +639,21 @@
 
 
 def main(case, folder):
-    """Runs `case(fleet, trouble)`: returns 1 (rule broken), 0 (held) or 2 (could not run)."""
+    """Runs `case(record, trouble)`: returns 1 (rule broken), 0 (held) or 2 (could not run)."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    fleet = None
+
+    async def run():
+        # The case ends its processes when it is cancelled.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        return await asyncio.wait_for(case(record, trouble), 110)
+
     code = 2
     try:
-        async def run():
-            nonlocal fleet
-            return await asyncio.wait_for(case(record, trouble), 110)
         code = asyncio.run(run())
-    except asyncio.TimeoutError:
+    except (asyncio.TimeoutError, asyncio.CancelledError):
         record("timeout")
     except Exception as error:  # the case could not run
-        import traceback
         traceback.print_exc()
         record("error", error=repr(error))
     record("result", code=code)
