--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -625,13 +625,13 @@
         return None
 
     def stop_all(self):
-        for minion in self.world.minions.values():
-            if minion.up:
-                minion.crash()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
             process.wait()
+        for minion in self.world.minions.values():
+            if minion.up:
+                minion.crash()
         if os.environ.get("KEEP"):
             print("data kept in", self.data, file=sys.stderr)
         else:
