Keep runs that a worker's next life may begin until they are barred

Cause: an order names only the id of its worker. The proof of a new life was taken for the end of all runs of the former one, although starts that were unanswered, queued in http_pool, or just carried out by the new life could begin there.

Change: only runs that the former life had listed end with it. Every other run, and every unanswered start of the last 12 s whose run is over, stays with the next life until a stop has barred it. A new leader does the same with runs of several lives in the log. Answers report the start time of the life that gave them. An order is dropped when it leaves if its life has ended, its run is no longer wanted, or the leader has no lease. The fake fleet reports late orders as unanswered after 400 ms instead of when they arrive, as the exchange does.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -1003,8 +1003,10 @@
         // Another leader, or a later term, decides anew.
         if (controller_.fence() != fence)
             return;
+        // The order may wait for a connection until the lease of this node, or the life of the
+        // worker, has ended.
         exchange_.send(
-            value, nullptr,
+            value, [this, value] { return log_->serving() && controller_.is_wanted(value); },
             [this, value](const order_result& result, time_ms sent_at, time_ms received_at) {
                 queue_result(value, result, sent_at, received_at);
             });
@@ -1049,7 +1051,7 @@
                  {{"outcome", recent && current ? "carried-out" : "declined"}}, orders->size());
     for (auto& item : *orders) {
         if (!recent || !current || stopped_) {
-            add_result(peer, {item.id, order_answer::undelivered, {}});
+            add_result(peer, {.id = item.id, .answer = order_answer::undelivered, .lists = {}});
             continue;
         }
         const auto may_send = [this, now, newest_term, term = batch.term] {
@@ -1057,7 +1059,7 @@
         };
         exchange_.send(std::move(item.value), may_send,
                        [this, peer, id = item.id](const order_result& result, time_ms, time_ms) {
-                           add_result(peer, {id, result.answer, result.lists});
+                           add_result(peer, {id, result.answer, result.lists, result.next_life});
                        });
     }
 }
@@ -1141,6 +1143,13 @@
         return;
     const load_monitor::timer timer(load_, activity::exchange);
     const auto now = received_at;
+    if (result.next_life != 0)
+        std::visit(
+            [&](const auto& item) {
+                if constexpr (requires { item.worker; })
+                    controller_.observe_next_life(item.worker, result.next_life, item.fence, now);
+            },
+            value);
     if (const auto* hold = std::get_if<hold_order>(&value))
         controller_.observe(*hold, result.answer, result.lists, sent_at, now);
     else if (const auto* start = std::get_if<start_order>(&value))
--- a/src/control/order_relays.cpp
+++ b/src/control/order_relays.cpp
@@ -76,6 +76,7 @@
             continue; // resolved before
         order_result result;
         result.answer = item.answer;
+        result.next_life = item.next_life;
         result.lists = item.lists;
         handlers_.done(found.mapped().value, result, found.mapped().sent_at, now);
     }
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -26,6 +26,9 @@
 // slow, and the leader may have estimated it up to 2% of a 2 s pause ahead.
 constexpr time_ms max_inherited_lease{
     static_cast<time_ms>(static_cast<double>(worker_lease) / min_clock_rate) + 100};
+// Longest lease that a worker grants, whatever the order says: the end in an order for a former
+// life is far ahead on the clock of the next one.
+constexpr time_ms max_worker_lease{10'000};
 
 std::string label_at(const std::vector<std::string>& labels, std::size_t index) {
     return index < labels.size() ? labels[index] : std::string();
@@ -51,7 +54,6 @@
     fence_ = 0;
     workers_.clear();
     worker_by_address_.clear();
-    old_lives_.clear();
     starting_.clear();
     views_.clear();
     changed_jobs_.clear();
@@ -77,15 +79,14 @@
                         continue;
                     const auto& ref = tasks[i].worker;
                     auto [it, added] = workers_.try_emplace(ref.id);
-                    auto* target = &it->second;
-                    if (!added && target->ref.started_at < ref.started_at)
-                        old_lives_.push_back(std::exchange(*target, {}));
-                    else if (!added && target->ref.started_at > ref.started_at)
-                        target = &old_lives_.emplace_back();
-                    target->ref = ref;
-                    target->seen_since = now;
-                    target->address = tasks[i].address;
-                    target->inherited_lease_end = lease_end;
+                    auto& target = it->second;
+                    // A run of a former life stays with the newest one, which may have begun it.
+                    if (added || target.ref.started_at < ref.started_at) {
+                        target.ref = ref;
+                        target.address = tasks[i].address;
+                    }
+                    target.seen_since = now;
+                    target.inherited_lease_end = lease_end;
                     live_run run;
                     run.task = {id, k, s, i};
                     run.run = tasks[i].run;
@@ -97,7 +98,7 @@
                     run.stage = run_stage::ordered;
                     run.since = now;
                     run.checkpoint = tasks[i].checkpoint;
-                    target->add(std::move(run));
+                    target.add(std::move(run));
                 }
             }
         }
@@ -132,6 +133,61 @@
     workers_.erase(it);
 }
 
+// Puts the next life of a worker in the place of one that has ended. The runs that the former life
+// had begun have ended with it. Those that the next one may begin stay with it until a stop or the
+// fencing number of a hold has barred them, or no order can arrive and no lease can last any more.
+void controller::replace_life(worker& ended, std::int64_t started_at, time_ms now) {
+    std::vector<live_run> kept;
+    for (const auto& item : ended.loose_starts) {
+        if (now - item.sent_at > max_order_delay)
+            continue;
+        live_run run;
+        run.task = item.task;
+        run.run = item.run;
+        run.unexpected = true;
+        run.open_starts = 1;
+        run.last_start_at = item.sent_at;
+        kept.push_back(std::move(run));
+    }
+    for (const auto& [key, run] : ended.runs) {
+        if (run.may_begin_in_next_life())
+            kept.push_back(run);
+    }
+    for (const auto& run : kept)
+        ended.remove({run.task, run.run});
+    mark_runs_lost(ended, "started again");
+    ended_lives_.emplace(ended.ref, now);
+    worker next;
+    next.ref = {ended.ref.id, started_at};
+    next.address = ended.address;
+    next.seen_since = now;
+    if (!kept.empty()) {
+        next.inherited_lease_end = now + max_order_delay + max_worker_lease;
+        log_event(log_level::info, "runs_kept_for_next_life")
+            .field("worker", next.ref.id)
+            .field("born", next.ref.started_at)
+            .field("runs", std::uint64_t{kept.size()});
+    }
+    for (auto& run : kept) {
+        run.stage = run_stage::ordered;
+        run.confirmed_at = 0;
+        run.order_under_way = run.stop_under_way = run.pace_under_way = false;
+        run.stop_wanted = true;
+        run.stop_sent_at = run.stop_answered_at = 0;
+        run.last_list = 0;
+        run.lists_without_progress = 0;
+        issue_stop(next, next.add(std::move(run)), now);
+    }
+    ended = std::move(next);
+}
+
+void controller::observe_next_life(const worker_ref& former, std::int64_t started_at,
+                                   std::uint64_t fence, time_ms now) {
+    auto* const target = worker_of(former);
+    if (target && fence == fence_)
+        replace_life(*target, started_at, now);
+}
+
 bool controller::observe(const worker_report& report, time_ms now) {
     if (ended_lives_.contains(report.worker))
         return false;
@@ -148,10 +204,8 @@
     if (!added && item.ref.started_at > report.worker.started_at)
         return false;
     if (!added && item.ref.started_at < report.worker.started_at) {
-        mark_runs_lost(item, "started again");
         worker_by_address_.erase(item.address);
-        item = {};
-        added = true;
+        replace_life(item, report.worker.started_at, now);
     }
     if (added)
         item.seen_since = now;
@@ -344,9 +398,6 @@
     }
     for (const auto& id : silent_workers)
         drop_worker(id);
-    for (auto& item : old_lives_)
-        mark_runs_lost(item, "superseded by a later life");
-    old_lives_.clear();
     std::erase_if(ended_lives_,
                   [&](const auto& item) { return now - item.second > ended_life_retention; });
 }
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -79,6 +79,10 @@
     bool observe(const worker_report& report, time_ms now);
     // Handles a worker's notice that it is shutting down.
     void observe_leaving(const std::string& id, time_ms now);
+    // Handles the proof that a worker has started again under its id: another life, which started
+    // at `started_at`, has answered an order to `former`.
+    void observe_next_life(const worker_ref& former, std::int64_t started_at, std::uint64_t fence,
+                           time_ms now);
     void observe(const hold_order& order, order_answer answer, const worker_lists& lists,
                  time_ms sent_at, time_ms received_at);
     void observe(const start_order& order, order_answer answer, time_ms now);
@@ -102,6 +106,9 @@
 
     // `wall` is the wall clock, used for scheduled jobs.
     decisions decide(time_ms now, time_ms wall);
+    // False for an order to a worker that must not be sent any more: this node leads no longer or
+    // again, the life that it was for has ended, or its run is no longer wanted.
+    bool is_wanted(const order& value) const;
 
     // Decides whether to accept a new job of a queue. `order_delay`: time from a decision to the
     // order that carries it out.
@@ -157,6 +164,8 @@
     void inherit_runs(time_ms now);
     void inherit_load(time_ms now, time_ms wall);
     void mark_runs_lost(worker& gone, const char* reason);
+    void replace_life(worker& ended, std::int64_t started_at, time_ms now);
+    void settle_start_for_former_life(const start_order& order, order_answer answer);
     void end_expired_lives(time_ms now);
     void drop_worker(const std::string& id);
     void mark_lost(worker& target, const run_key& key);
@@ -206,9 +215,8 @@
     time_ms leading_since_{0};
     std::map<std::string, worker> workers_;                // by id; the newest life of each
     std::map<std::string, std::string> worker_by_address_; // address to worker id
-    std::vector<worker> old_lives_; // superseded lives whose runs may still hold a lease
-    std::map<std::string, std::int64_t> blocked_cpu_; // by pool; see pool_demand::blocked
-    std::map<task_id, advice> advice_;                // by the first task of the step
+    std::map<std::string, std::int64_t> blocked_cpu_;      // by pool; see pool_demand::blocked
+    std::map<task_id, advice> advice_;                     // by the first task of the step
     int pending_advice_calls_ = 0;
     std::map<std::string, job_view> views_;        // open jobs with ready steps, by id
     std::set<std::string> changed_jobs_;           // whose view is out of date
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -41,6 +41,11 @@
 // away, counts as ended.
 constexpr int refusals_before_end = 2;
 
+// True if the answer tells whether a start was carried out, by whichever life of the worker.
+bool is_settled(order_answer answer) {
+    return answer != order_answer::no_answer && answer != order_answer::other_life;
+}
+
 } // namespace
 
 // Marks a run as lost: it is not running, and how it ended is unknown.
@@ -294,7 +299,21 @@
     return nullptr;
 }
 
+// An attempt that was certainly not carried out needs no stop in the next life.
+void controller::settle_start_for_former_life(const start_order& order, order_answer answer) {
+    const auto it = workers_.find(order.worker.id);
+    if (it == workers_.end() || it->second.ref == order.worker || order.fence != fence_)
+        return;
+    auto* run = it->second.find(order.task, order.run);
+    if (!run || run->open_starts == 0 || !is_settled(answer) || answer == order_answer::done)
+        return;
+    if (--run->open_starts == 0 && !run->may_begin_in_next_life() &&
+        run->stage == run_stage::ordered)
+        mark_lost(it->second, {order.task, order.run});
+}
+
 void controller::observe(const start_order& order, order_answer answer, time_ms now) {
+    settle_start_for_former_life(order, answer);
     auto* target = find_answering_worker(order.worker, order.fence, answer);
     if (!target)
         return;
@@ -302,6 +321,8 @@
     if (!run)
         return;
     run->order_under_way = false;
+    if (is_settled(answer))
+        --run->open_starts;
     if (answer == order_answer::undelivered) {
         --run->start_attempts; // the review sends it again
         return;
@@ -401,6 +422,25 @@
     return std::exchange(pending_decisions_.orders, {});
 }
 
+bool controller::is_wanted(const order& value) const {
+    return std::visit(
+        [this](const auto& item) {
+            using type = std::decay_t<decltype(item)>;
+            if constexpr (requires { item.worker; }) {
+                const auto it = workers_.find(item.worker.id);
+                if (it == workers_.end() || it->second.ref != item.worker || item.fence != fence_)
+                    return false;
+                if constexpr (std::is_same_v<type, start_order>) {
+                    const auto run = it->second.runs.find({item.task, item.run});
+                    return run != it->second.runs.end() && !run->second.stop_wanted &&
+                           is_current(it->second, run->second);
+                }
+            }
+            return true;
+        },
+        value);
+}
+
 bool controller::is_current(const worker& target, const live_run& run) const {
     if (run.stage == run_stage::proposed)
         return true;
@@ -423,6 +463,8 @@
     target.lease_until = std::max(target.lease_until, until);
     run.order_under_way = true;
     ++run.start_attempts;
+    ++run.open_starts;
+    run.last_start_at = now;
     ++counters_.starts;
     const auto* item = table_.find_task(run.task);
     start_order order;
--- a/src/workload/fleet_protocol.h
+++ b/src/workload/fleet_protocol.h
@@ -37,6 +37,9 @@
 
 struct order_result {
     order_answer answer = order_answer::invalid;
+    // With `other_life`: start time of the life that answered under the same id; 0 if the worker at
+    // the address has another id and carried out nothing.
+    std::int64_t next_life = 0;
     worker_lists lists;                    // for a hold
     std::vector<vm_report> vms;            // for a VM list
     std::vector<placement_ticket> tickets; // for placement advice
--- a/src/workload/order_codec.cpp
+++ b/src/workload/order_codec.cpp
@@ -4,6 +4,7 @@
 #include "consensus/codec.h"
 
 #include <type_traits>
+#include <utility>
 
 namespace clementine::workload {
 
@@ -189,7 +190,14 @@
     writer bytes;
     bytes.u64(value.id);
     bytes.u8(static_cast<std::uint8_t>(value.answer));
-    put(bytes, value.lists);
+    if (value.answer == order_answer::other_life) {
+        // Another life's clock has no use. Its place in the format, which nodes of earlier builds
+        // skip, holds the start time.
+        worker_lists lists;
+        lists.clock = value.next_life;
+        put(bytes, lists);
+    } else
+        put(bytes, value.lists);
     out += bytes.take();
 }
 
@@ -216,6 +224,8 @@
         if (answer >= order_answer_names.size() || !read_lists(in, item.lists))
             return std::nullopt;
         item.answer = static_cast<order_answer>(answer);
+        if (item.answer == order_answer::other_life)
+            item.next_life = std::exchange(item.lists, {}).clock;
         out.push_back(std::move(item));
     }
     return out;
--- a/src/workload/order_codec.h
+++ b/src/workload/order_codec.h
@@ -22,7 +22,8 @@
 struct relayed_result {
     std::uint64_t id = 0; // of the order
     order_answer answer = order_answer::invalid;
-    worker_lists lists; // for a hold
+    worker_lists lists;         // for a hold
+    std::int64_t next_life = 0; // see order_result
 };
 
 // True if an order is one that a relay can carry out.
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -37,10 +37,17 @@
     const auto it = runs.find(key);
     if (it == runs.end())
         return;
-    used -= it->second.need;
-    if (it->second.long_running) {
+    const auto& run = it->second;
+    used -= run.need;
+    if (run.long_running) {
         --long_running_runs;
-        long_running_cpu -= it->second.need.cpu;
+        long_running_cpu -= run.need.cpu;
+    }
+    if (run.open_starts > 0) {
+        std::erase_if(loose_starts, [&](const loose_start& item) {
+            return run.last_start_at - item.sent_at > max_order_delay;
+        });
+        loose_starts.push_back({run.task, run.run, run.last_start_at});
     }
     runs.erase(it);
 }
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -14,6 +14,8 @@
 // Lease that every hold and start grants; the platform allows 10 s. It outlasts an election (2 s),
 // a new leader's first contact (1 s) and a pause between two holds (2 s).
 inline constexpr time_ms worker_lease{6'000};
+// An unanswered order may arrive this late.
+inline constexpr time_ms max_order_delay{12'000};
 // Lowest rate of a worker's clock relative to the local one.
 inline constexpr double min_clock_rate = 0.98;
 
@@ -42,6 +44,8 @@
     time_ms confirmed_at{0}; // time at which the start was confirmed
     bool order_under_way = false;
     int start_attempts = 0;
+    int open_starts = 0;      // attempts that may not have arrived yet
+    time_ms last_start_at{0}; // time of the last attempt
 
     bool stop_wanted = false;
     bool stop_under_way = false;
@@ -57,10 +61,24 @@
     int pace = 100;
     bool pace_under_way = false;
     time_ms target_tail_latency{0}; // 0 if none
+
+    // True unless the run is known to have begun in the life that it was ordered for. Its start may
+    // be carried out by the next life under the same id, because an order names only the id, and
+    // the answer to a start does not tell the life.
+    bool may_begin_in_next_life() const {
+        return open_starts > 0 || inherited || stage == run_stage::confirmed;
+    }
 };
 
 using run_key = std::pair<task_id, std::uint32_t>;
 
+// A start that may still arrive although its run is over for the leader.
+struct loose_start {
+    task_id task;
+    std::uint32_t run = 0;
+    time_ms sent_at{0};
+};
+
 // Recent results of runs, to distinguish a failing worker from failing jobs.
 struct worker_health {
     int failed = 0; // consecutive runs of different jobs that failed or stalled
@@ -107,6 +125,8 @@
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
+    // In the order of the ends of their runs. This life refuses them, the next one would not.
+    std::vector<loose_start> loose_starts;
     std::uint64_t answered_lists = 0;  // lists received from this life
     std::int64_t long_running_cpu = 0; // processor of long-running `runs`
     std::uint32_t long_running_runs = 0;
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -216,7 +216,11 @@
         CPPUNIT_ASSERT(order_answer::done == protocol_.decode_answer(order, 200, body(100)).answer);
         CPPUNIT_ASSERT(order_answer::other_life ==
                        protocol_.decode_answer(order, 200, body(200)).answer);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{200},
+                             protocol_.decode_answer(order, 200, body(200)).next_life);
         CPPUNIT_ASSERT(order_answer::other_life == protocol_.decode_answer(order, 421, "").answer);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0},
+                             protocol_.decode_answer(order, 421, body(200)).next_life);
     }
 
     void decodes_conflicts() {
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -12,6 +12,8 @@
 constexpr time_ms commit_time{10};
 constexpr time_ms answer_timeout{400};
 constexpr time_ms announce_interval{1'500};
+// From the first contact with a new life until the leader's stops reach it.
+constexpr time_ms barring_time{30};
 constexpr time_ms start_up_time{200};
 constexpr time_ms stop_duration{100};
 constexpr time_ms move_duration{1'500};
@@ -298,9 +300,16 @@
         const auto found = workers_.find(value.worker.id);
         auto answer = order_answer::no_answer;
         worker_lists lists;
-        if (found != workers_.end() && !found->second.unresponsive) {
+        std::int64_t next_life = 0;
+        // Nothing can bar an order that reaches a new life before the leader does.
+        const bool unbarred =
+            late && found != workers_.end() &&
+            (found->second.contacted_at == 0 || now_ - found->second.contacted_at < barring_time);
+        if (found != workers_.end() && !found->second.unresponsive && !unbarred) {
             auto& target = found->second;
             if constexpr (std::is_same_v<Order, hold_order>) {
+                if (target.contacted_at == 0)
+                    target.contacted_at = now_;
                 answer =
                     accept_fence(target, value.fence) ? order_answer::done : order_answer::fenced;
                 if (answer == order_answer::done) {
@@ -316,18 +325,35 @@
             } else {
                 answer = execute(target, value);
             }
+            if (target.ref != value.worker &&
+                (std::is_same_v<Order, hold_order> || random_.chance(options_.life_in_answers))) {
+                next_life = target.ref.started_at;
+                answer = order_answer::other_life;
+            }
         }
-        const bool answered = answer != order_answer::no_answer && !late;
-        schedule(answered ? now_ + link_delay : std::max(now_, sent + answer_timeout), [=, this] {
-            if (term != term_)
-                return;
-            const auto reported_answer = answered ? answer : order_answer::no_answer;
-            if constexpr (std::is_same_v<Order, hold_order>)
-                controller_->observe(value, reported_answer, lists, sent, now_);
-            else
-                controller_->observe(value, reported_answer, now_);
-        });
+        if (late)
+            return;
+        const bool answered = answer != order_answer::no_answer;
+        schedule(answered ? now_ + link_delay : std::max(now_, sent + answer_timeout),
+                 [=, this] { report_answer(value, answer, lists, next_life, sent, term); });
     });
+    if (late)
+        schedule(now_ + answer_timeout, [=, this, term = term_] {
+            report_answer(value, order_answer::no_answer, {}, 0, sent, term);
+        });
+}
+
+template <class Order>
+void fake_fleet::report_answer(const Order& value, order_answer answer, const worker_lists& lists,
+                               std::int64_t next_life, time_ms sent, std::uint64_t term) {
+    if (term != term_)
+        return;
+    if (next_life != 0)
+        controller_->observe_next_life(value.worker, next_life, value.fence, now_);
+    if constexpr (std::is_same_v<Order, hold_order>)
+        controller_->observe(value, answer, lists, sent, now_);
+    else
+        controller_->observe(value, answer, now_);
 }
 
 // Every other worker is allowed; a ticket names the job and the worker.
@@ -645,6 +671,20 @@
     workers_.at(worker).unresponsive = unresponsive;
 }
 
+void fake_fleet::restart(const std::string& worker) {
+    auto& item = workers_.at(worker);
+    fake_worker next;
+    next.ref = {worker, now_};
+    next.vm = item.vm;
+    next.pool = item.pool;
+    next.rack = item.rack;
+    next.address = item.address;
+    next.started_at = now_;
+    next.clock_rate = item.clock_rate;
+    next.unresponsive = item.unresponsive;
+    item = std::move(next);
+}
+
 void fake_fleet::crash(const std::string& worker) {
     auto& vm = vms_.at(workers_.at(worker).vm);
     end_worker(worker);
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -41,6 +41,7 @@
     double clock_rate = 1.0;
     std::uint64_t sequence = 0;
     std::uint64_t fence = 0;
+    time_ms contacted_at{0}; // first hold in this life; 0 if none
     time_ms lease_until{0};
     std::uint64_t last_end = 0;
     std::vector<fake_run> runs;
@@ -71,9 +72,11 @@
     bool forecast_turns = true;  // VMs move ahead of expected surges
     bool advice = false;         // queue qa needs placement advice
     double late_order_share = 0; // orders unanswered and carried out 2 to 12 s late
-    time_ms vm_order_time{1};    // until the platform carries out an order about a VM
-    double vm_answer_loss = 0;   // share of VM orders that are carried out without an answer
-    double commit_loss = 0;      // share of a replaced leader's commands that are not committed
+    // Share of the answers to other orders than holds that tell the life of the worker.
+    double life_in_answers = 0;
+    time_ms vm_order_time{1};  // until the platform carries out an order about a VM
+    double vm_answer_loss = 0; // share of VM orders that are carried out without an answer
+    double commit_loss = 0;    // share of a replaced leader's commands that are not committed
 };
 
 class fake_fleet {
@@ -93,6 +96,9 @@
     void set_unresponsive(const std::string& worker, bool unresponsive);
     // Ends the worker's process; its VM starts one under a new id at once.
     void crash(const std::string& worker);
+    // Ends the worker's process and starts it again under its id and address. The new life knows
+    // nothing of before.
+    void restart(const std::string& worker);
     // Cuts the power of the worker's VM for `span`; the platform lists it as down.
     void lose_power(const std::string& worker, time_ms span);
     std::map<std::string, fake_worker>& workers() { return workers_; }
@@ -135,6 +141,9 @@
     void deliver(order value);
     template <class Order>
     void call_worker(const Order& value);
+    template <class Order>
+    void report_answer(const Order& value, order_answer answer, const worker_lists& lists,
+                       std::int64_t next_life, time_ms sent, std::uint64_t term);
     order_answer execute(fake_worker& target, const start_order& value);
     order_answer execute(fake_worker& target, const stop_order& value);
     order_answer execute(fake_worker& target, const pace_order& value);
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+
 namespace {
 
 using namespace clementine;
@@ -42,6 +44,8 @@
     CPPUNIT_TEST(worker_with_unanswered_start_gets_no_runs);
     CPPUNIT_TEST(no_vm_orders_until_pause_after_other_holder_ends);
     CPPUNIT_TEST(late_orders_never_duplicate_tasks);
+    CPPUNIT_TEST(start_for_former_life_runs_beside_its_repeat);
+    CPPUNIT_TEST(order_for_former_life_is_sent);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(repeated_upkeep_is_not_taken_for_the_end_of_a_worker);
     CPPUNIT_TEST(unanswered_vm_orders_violate_no_invariant);
@@ -297,6 +301,71 @@
         assert_no_violations(fleet);
     }
 
+    // A worker started again under its id. Starts for its former life were carried out by the new
+    // one, beside the next run of the same tasks elsewhere.
+    void start_for_former_life_runs_beside_its_repeat() {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+            fleet_options options;
+            options.seed = seed;
+            options.vm_orders = false;
+            options.late_order_share = 0.1;
+            options.life_in_answers = seed % 2 == 0 ? 0.5 : 0;
+            options.commit_loss = 0.3;
+            fake_fleet fleet(options);
+            random_source random(seed * 3'571);
+            fleet.run_for(3'000);
+            int accepted = 0;
+            for (int i = 0; i < 40; ++i) {
+                if (fleet.control().leading() &&
+                    fleet.submit("qa", id_of(i), one_step(make_step(3, 1'500, 600))))
+                    ++accepted;
+                fleet.run_for(random.between(50, 250));
+                if (random.chance(0.3)) {
+                    auto it = fleet.workers().begin();
+                    std::advance(it, random.below(fleet.workers().size()));
+                    fleet.restart(it->first);
+                }
+                if (seed % 4 == 0 && random.chance(0.03) && fleet.control().leading())
+                    fleet.replace_leader(random.between(0, 1'000));
+            }
+            fleet.run_for(30'000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed) + ": " +
+                    (fleet.violations().empty() ? std::string() : fleet.violations().front()),
+                std::size_t{0}, fleet.violations().size());
+            int done = 0;
+            for (int i = 0; i < 40; ++i) {
+                const auto* item = fleet.table().find_job(id_of(i));
+                done += item && item->state == job_state::completed ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), accepted, done);
+        }
+    }
+
+    // Starts waited for a connection to a worker that was cut off, and were sent to its next life.
+    void order_for_former_life_is_sent() {
+        fake_fleet fleet({});
+        fleet.run_for(3'000);
+        const auto& known = fleet.control().workers().begin()->second;
+        hold_order hold;
+        hold.worker = known.ref;
+        hold.address = known.address;
+        hold.fence = fleet.control().fence();
+        CPPUNIT_ASSERT(fleet.control().is_wanted(hold));
+        auto of_former_leader = hold;
+        --of_former_leader.fence;
+        CPPUNIT_ASSERT(!fleet.control().is_wanted(of_former_leader));
+        fleet.restart(known.ref.id);
+        fleet.announce_now(known.ref.id);
+        CPPUNIT_ASSERT(!fleet.control().is_wanted(hold));
+        hold.worker = fleet.workers().at(hold.worker.id).ref;
+        CPPUNIT_ASSERT(fleet.control().is_wanted(hold));
+        start_order start;
+        start.worker = hold.worker;
+        start.fence = hold.fence;
+        CPPUNIT_ASSERT(!fleet.control().is_wanted(start)); // there is no such run
+    }
+
     void new_leader_neither_loses_nor_duplicates_work() {
         fleet_options options;
         options.commit_loss = 0.5;
--- a/tests/workload/order_codec_test.cpp
+++ b/tests/workload/order_codec_test.cpp
@@ -44,7 +44,8 @@
         value.lists.running.push_back({{"j", 1, 2, 3}, 4, "saved", 41, 250});
         value.lists.ended.push_back({12, {"k", 0, 0, 1}, 2, run_end::broken, "kept"});
         append_encoded(out, value);
-        append_encoded(out, relayed_result{78, order_answer::undelivered, {}});
+        append_encoded(out, relayed_result{78, order_answer::other_life, {}, 1'700'000'000'123});
+        append_encoded(out, relayed_result{79, order_answer::undelivered, {}, 0});
         return out;
     }
 
@@ -75,7 +76,7 @@
 
     void results_keep_all_fields() {
         const auto decoded = decode_relayed_results(encoded_results());
-        CPPUNIT_ASSERT(decoded && decoded->size() == 2);
+        CPPUNIT_ASSERT(decoded && decoded->size() == 3);
         const auto& first = decoded->front();
         CPPUNIT_ASSERT(first.id == 77 && first.answer == order_answer::done);
         CPPUNIT_ASSERT_EQUAL(time_ms{4'711}, first.lists.clock);
@@ -87,6 +88,9 @@
         CPPUNIT_ASSERT(ended.number == 12 && ended.task == (task_id{"k", 0, 0, 1}) &&
                        ended.run == 2 && ended.how == run_end::broken &&
                        ended.checkpoint == "kept");
+        CPPUNIT_ASSERT((*decoded)[1].answer == order_answer::other_life &&
+                       (*decoded)[1].next_life == 1'700'000'000'123);
+        CPPUNIT_ASSERT(first.next_life == 0 && decoded->back().next_life == 0);
         CPPUNIT_ASSERT(decoded->back().answer == order_answer::undelivered);
     }
 
@@ -99,7 +103,7 @@
         }
         for (std::size_t size = 1; size < results.size(); ++size) {
             const auto decoded = decode_relayed_results(results.substr(0, size));
-            CPPUNIT_ASSERT(!decoded || decoded->size() < 2);
+            CPPUNIT_ASSERT(!decoded || decoded->size() < 3);
         }
         auto unknown_kind = orders;
         unknown_kind[8] = 9;
