End a worker by the answer of its successor, not by an announcement

Cause: controller::observe took any announcement with a known address and a later start time for the end of the worker there.

Change: the announced worker is asked first. Its answer ends whatever answered at the address before; a refusal removes the announced one. Announcements for a service that no configuration has are ignored, unless the worker is in use with that service.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -191,13 +191,12 @@
 bool controller::observe(const worker_report& report, time_ms now) {
     if (ended_lives_.contains(report.worker))
         return false;
-    const auto holder = worker_by_address_.find(report.address);
-    if (holder != worker_by_address_.end() && holder->second != report.worker.id) {
-        auto& other = workers_.at(holder->second);
-        if (other.ref.started_at > report.worker.started_at)
-            return false;
-        mark_runs_lost(other, "address reused");
-        drop_worker(other.ref.id);
+    if (!is_in_known_pool(report)) {
+        log_event(log_level::warning, "announcement_ignored")
+            .field("worker", report.worker.id)
+            .field("pool", report.pool)
+            .field("address", report.address);
+        return false;
     }
     auto [it, added] = workers_.try_emplace(report.worker.id);
     auto& item = it->second;
@@ -240,10 +239,33 @@
         item.clock = report.clock;
         item.clock_seen_at = now;
     }
-    worker_by_address_[item.address] = item.ref.id;
     return true;
 }
 
+// An announcement for a pool that no configuration has comes from another writer, unless the pool
+// was removed while the worker was in use.
+bool controller::is_in_known_pool(const worker_report& report) const {
+    const auto known = workers_.find(report.worker.id);
+    if (known != workers_.end() && known->second.pool == report.pool)
+        return true;
+    const auto& config = table_.config();
+    return config.version == 0 || std::ranges::any_of(config.pools, [&](const auto& pool) {
+               return pool.name == report.pool;
+           });
+}
+
+// Handles the first answer of a worker. It proves that the worker which answered at its address
+// before has ended; an announcement alone does not, because anyone may send one.
+void controller::take_address(const worker& holder) {
+    const auto [it, added] = worker_by_address_.try_emplace(holder.address, holder.ref.id);
+    if (added || it->second == holder.ref.id)
+        return;
+    auto& former = workers_.at(it->second);
+    mark_runs_lost(former, "address reused");
+    drop_worker(std::string(former.ref.id));
+    worker_by_address_[holder.address] = holder.ref.id;
+}
+
 void controller::observe_leaving(const std::string& id, time_ms now) {
     const auto it = workers_.find(id);
     if (it == workers_.end() || it->second.leaving)
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -75,7 +75,7 @@
     bool leading() const { return fence_ != 0; }
     std::uint64_t fence() const { return fence_; }
 
-    // Handles a worker's announcement; returns false if it is out of date.
+    // Handles a worker's announcement; returns false if it is out of date, or of another writer.
     bool observe(const worker_report& report, time_ms now);
     // Handles a worker's notice that it is shutting down.
     void observe_leaving(const std::string& id, time_ms now);
@@ -168,6 +168,8 @@
     void settle_start_for_former_life(const start_order& order, order_answer answer);
     void end_expired_lives(time_ms now);
     void drop_worker(const std::string& id);
+    bool is_in_known_pool(const worker_report& report) const;
+    void take_address(const worker& holder);
     void mark_lost(worker& target, const run_key& key);
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
     void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
@@ -213,10 +215,11 @@
     controller_settings settings_;
     std::uint64_t fence_ = 0;
     time_ms leading_since_{0};
-    std::map<std::string, worker> workers_;                // by id; the newest life of each
-    std::map<std::string, std::string> worker_by_address_; // address to worker id
-    std::map<std::string, std::int64_t> blocked_cpu_;      // by pool; see pool_demand::blocked
-    std::map<task_id, advice> advice_;                     // by the first task of the step
+    std::map<std::string, worker> workers_; // by id; the newest life of each
+    // Address to the id of the worker that has answered there.
+    std::map<std::string, std::string> worker_by_address_;
+    std::map<std::string, std::int64_t> blocked_cpu_; // by pool; see pool_demand::blocked
+    std::map<task_id, advice> advice_;                // by the first task of the step
     int pending_advice_calls_ = 0;
     std::map<std::string, job_view> views_;        // open jobs with ready steps, by id
     std::set<std::string> changed_jobs_;           // whose view is out of date
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -89,7 +89,8 @@
         }
         from->refused_holds = 0;
         from->hold_unanswered = false;
-        from->contacted = true;
+        if (!std::exchange(from->contacted, true))
+            take_address(*from);
         from->unanswered_start_at = 0;
         from->clock = lists.clock;
         from->clock_seen_at = received_at;
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -178,8 +178,12 @@
 }
 
 void fake_fleet::announce(fake_worker& item) {
-    if (leader_paused || !controller_->leading())
-        return;
+    if (!leader_paused && controller_->leading())
+        controller_->observe(report_of(item.ref.id), now_);
+}
+
+worker_report fake_fleet::report_of(const std::string& worker) {
+    auto& item = workers_.at(worker);
     worker_report report;
     report.worker = item.ref;
     report.pool = item.pool;
@@ -189,7 +193,7 @@
     report.draining = item.draining;
     report.clock = item.clock(now_);
     report.sequence = ++item.sequence;
-    controller_->observe(report, now_);
+    return report;
 }
 
 void fake_fleet::end_run_on(fake_worker& item, std::size_t index, run_end how) {
@@ -301,6 +305,8 @@
         auto answer = order_answer::no_answer;
         worker_lists lists;
         std::int64_t next_life = 0;
+        if (found == workers_.end() && is_answered_at(value.address))
+            answer = order_answer::other_life;
         // Nothing can bar an order that reaches a new life before the leader does.
         const bool unbarred =
             late && found != workers_.end() &&
@@ -685,6 +691,20 @@
     item = std::move(next);
 }
 
+void fake_fleet::replace_at_address(const std::string& worker) {
+    const auto address = workers_.at(worker).address;
+    auto& vm = vms_.at(workers_.at(worker).vm);
+    end_worker(worker);
+    start_worker(vm);
+    workers_.at(vm.worker).address = address;
+}
+
+bool fake_fleet::is_answered_at(const std::string& address) const {
+    return std::ranges::any_of(workers_, [&](const auto& item) {
+        return item.second.address == address && !item.second.unresponsive;
+    });
+}
+
 void fake_fleet::crash(const std::string& worker) {
     auto& vm = vms_.at(workers_.at(worker).vm);
     end_worker(worker);
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -99,6 +99,10 @@
     // Ends the worker's process and starts it again under its id and address. The new life knows
     // nothing of before.
     void restart(const std::string& worker);
+    // Ends the worker's process; its VM starts one under a new id at the same address.
+    void replace_at_address(const std::string& worker);
+    // Announcement of the worker, as it would be sent now.
+    worker_report report_of(const std::string& worker);
     // Cuts the power of the worker's VM for `span`; the platform lists it as down.
     void lose_power(const std::string& worker, time_ms span);
     std::map<std::string, fake_worker>& workers() { return workers_; }
@@ -148,6 +152,7 @@
     order_answer execute(fake_worker& target, const stop_order& value);
     order_answer execute(fake_worker& target, const pace_order& value);
     worker_lists lists_of(const fake_worker& target) const;
+    bool is_answered_at(const std::string& address) const;
     void call_vm(const move_order& value);
     void call_vm(const upkeep_order& value);
     void advise(const advise_order& value);
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -46,6 +46,8 @@
     CPPUNIT_TEST(late_orders_never_duplicate_tasks);
     CPPUNIT_TEST(start_for_former_life_runs_beside_its_repeat);
     CPPUNIT_TEST(order_for_former_life_is_sent);
+    CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
+    CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(repeated_upkeep_is_not_taken_for_the_end_of_a_worker);
     CPPUNIT_TEST(unanswered_vm_orders_violate_no_invariant);
@@ -366,6 +368,68 @@
         CPPUNIT_ASSERT(!fleet.control().is_wanted(start)); // there is no such run
     }
 
+    static std::size_t count_runs(fake_fleet& fleet) {
+        std::size_t out = 0;
+        for (const auto& [id, item] : fleet.workers())
+            out += item.runs.size();
+        return out;
+    }
+
+    static std::string busiest_worker(fake_fleet& fleet) {
+        const auto it = std::ranges::max_element(
+            fleet.workers(), {}, [](const auto& item) { return item.second.runs.size(); });
+        CPPUNIT_ASSERT(!it->second.runs.empty());
+        return it->first;
+    }
+
+    // An announcement with the address of a sound worker, but of a pool that does not exist or
+    // under an id that nobody has, had the worker's tasks started elsewhere while they ran on.
+    void announcement_of_another_writer_ends_a_worker() {
+        for (const std::string pool : {"none", "a"}) {
+            fleet_options options;
+            options.vm_orders = false;
+            fake_fleet fleet(options);
+            fleet.run_for(3'000);
+            CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_step(6, 1'000, 3'000))));
+            fleet.run_for(700);
+            const auto victim = busiest_worker(fleet);
+            auto report = fleet.report_of(victim);
+            report.worker = {"x-1", fleet.now()};
+            report.pool = pool;
+            fleet.control().observe(report, fleet.now());
+            // The next one names the worker itself.
+            report = fleet.report_of(victim);
+            report.pool = "none";
+            report.sequence += 1'000;
+            CPPUNIT_ASSERT(!fleet.control().observe(report, fleet.now()));
+            report.worker.started_at = fleet.now();
+            CPPUNIT_ASSERT(!fleet.control().observe(report, fleet.now()));
+            fleet.run_for(1'000);
+            assert_no_violations(fleet);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.control().counters().lost_runs);
+            CPPUNIT_ASSERT(accepts_runs(fleet.control().workers().at(victim), fleet.now()));
+            CPPUNIT_ASSERT(!fleet.control().workers().contains("x-1"));
+            fleet.run_for(4'000);
+            CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(1))->state);
+            assert_no_violations(fleet);
+        }
+    }
+
+    // The answer of a new worker at the address of another one shows that the other has ended. Its
+    // tasks must not wait until the end of the lease.
+    void tasks_wait_for_lease_after_address_is_reused() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_long_running_step(4, 3'000, 1))));
+        fleet.run_for(2'000);
+        fleet.replace_at_address(busiest_worker(fleet));
+        fleet.run_for(1'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_runs(fleet));
+        assert_no_violations(fleet);
+    }
+
     void new_leader_neither_loses_nor_duplicates_work() {
         fleet_options options;
         options.commit_loss = 0.5;
