Take back a notice of leaving that was meant for a former life

Callers: two workers left and started again while a control node was frozen.

Cause: the notice names no life, was applied to whichever life had the id, and was never taken back.

Change: a notice takes full effect only on a life that has announced that it drains. Any other gets no new runs, keeps its own, and is in use again once it answers a hold sent 1 s later. An answer also takes back that the VM list gave a worker up. Tasks on a worker that may leave do not count as available for upkeep.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -230,6 +230,7 @@
     item.kind = label_at(report.labels, 0);
     item.rack = label_at(report.labels, 1);
     item.capacity = report.capacity;
+    item.says_draining = item.says_draining || report.draining;
     item.draining = item.draining || report.draining;
     if (item.draining && item.draining_since == 0)
         item.draining_since = now;
@@ -270,15 +271,28 @@
     const auto it = workers_.find(id);
     if (it == workers_.end() || it->second.leaving)
         return;
-    log_event(log_level::info, "worker_leaving").field("worker", id);
-    vms_.observe_leaving(id);
-    it->second.leaving = true;
-    it->second.draining = true;
-    if (it->second.draining_since == 0)
-        it->second.draining_since = now;
-    it->second.review_due = true;
-    it->second.leaving_since = now;
-    it->second.next_hold_at = now;
+    auto& item = it->second;
+    log_event(log_level::info, "worker_leaving")
+        .field("worker", id)
+        .field("born", item.ref.started_at)
+        .field("draining", item.says_draining);
+    item.leaving = item.notice_came = true;
+    item.leaving_since = now;
+    item.next_hold_at = now;
+    if (item.says_draining)
+        vms_.observe_leaving(id);
+}
+
+// Takes back that a worker leaves. A notice of shutdown names no life and may come late, for a
+// former one; a worker that it was meant for has ended soon after.
+void controller::observe_staying(worker& item) {
+    log_event(log_level::info, "worker_stays")
+        .field("worker", item.ref.id)
+        .field("born", item.ref.started_at)
+        .field("notice", item.notice_came);
+    item.leaving = item.notice_came = false;
+    item.draining = false;
+    item.draining_since = 0;
 }
 
 // Handles the success of an order about a VM. If an earlier order may have been carried out before,
@@ -316,7 +330,7 @@
                          order_answer answer, time_ms now) {
     if (answer == order_answer::done) {
         for (const auto& listed : vms)
-            end_vanished_life(listed, order.requested_at);
+            end_vanished_life(listed, order.requested_at, now);
     }
     vms_.observe(vms, answer, now);
 }
@@ -324,7 +338,7 @@
 // A worker is one life of a VM: it has ended if its VM is not up or runs another worker. Load
 // pattern: a rack loses power during a surge. Its leases last 6 s, longer than short jobs take; the
 // VM list reports the loss within 1 s.
-void controller::end_vanished_life(const vm_report& listed, time_ms asked_at) {
+void controller::end_vanished_life(const vm_report& listed, time_ms asked_at, time_ms now) {
     const auto previous_worker = vms_.last_worker_on(listed.vm);
     const bool ended = listed.state != vm_state::up ||
                        (!listed.worker.empty() && listed.worker != previous_worker);
@@ -342,6 +356,7 @@
         .field("listed_worker", listed.worker)
         .field("runs", std::uint64_t{gone.runs.size()});
     gone.leaving = gone.draining = true;
+    gone.leaving_since = now;
     std::vector<run_key> ended_runs;
     for (const auto& [key, run] : gone.runs) {
         // An unanswered order may still reach a new life under the same id.
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -77,7 +77,8 @@
 
     // Handles a worker's announcement; returns false if it is out of date, or of another writer.
     bool observe(const worker_report& report, time_ms now);
-    // Handles a worker's notice that it is shutting down.
+    // Handles a notice that a worker is shutting down. Unless this life has announced that it
+    // drains, it gets no new runs, and keeps those that it has, until it shows whether it stays.
     void observe_leaving(const std::string& id, time_ms now);
     // Handles the proof that a worker has started again under its id: another life, which started
     // at `started_at`, has answered an order to `former`.
@@ -194,7 +195,8 @@
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
     void end_life_on_vm(const std::string& vm, order_effect effect, time_ms now);
-    void end_vanished_life(const vm_report& listed, time_ms asked_at);
+    void end_vanished_life(const vm_report& listed, time_ms asked_at, time_ms now);
+    static void observe_staying(worker& item);
     bool is_starting(const ready_step& item) const;
     static void reserve_room(const ready_step& item, std::vector<worker*>& pool);
     void place_step(const ready_step& item, candidate_pool& pool, std::int64_t largest_cpu,
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -40,6 +40,8 @@
 // Refused connections after which a worker that announced its shutdown, or whose VM was ordered
 // away, counts as ended.
 constexpr int refusals_before_end = 2;
+// A worker ends within this time after the acknowledgement of its notice.
+constexpr time_ms shutdown_time{1'000};
 
 // True if the answer tells whether a start was carried out, by whichever life of the worker.
 bool is_settled(order_answer answer) {
@@ -87,6 +89,8 @@
             from->ordered_away_at = 0;
             vms_.observe_still_up(from->ref.id);
         }
+        if (from->leaving && !from->says_draining && sent_at >= from->leaving_since + shutdown_time)
+            observe_staying(*from);
         from->refused_holds = 0;
         from->hold_unanswered = false;
         if (!std::exchange(from->contacted, true))
@@ -112,6 +116,8 @@
         ++from->refused_holds;
     if (answer == order_answer::other_life || ((from->leaving || from->ordered_away_at != 0) &&
                                                from->refused_holds >= refusals_before_end)) {
+        if (from->notice_came)
+            vms_.observe_leaving(order.worker.id);
         mark_runs_lost(*from, to_name(answer).data());
         drop_worker(order.worker.id);
     }
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -58,7 +58,7 @@
         // Runs last listed by a silent worker may have ended since, and those of a worker that
         // drains or whose VM was ordered away are about to end.
         if (item.long_running_runs == 0 || !item.contacted || item.hold_unanswered ||
-            item.draining || item.ordered_away_at != 0)
+            item.draining || item.leaving || item.ordered_away_at != 0)
             continue;
         for (const auto& [key, run] : item.runs) {
             if (is_available(run))
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -103,8 +103,10 @@
     time_ms draining_since{0}; // when this leader learnt of it; 0 if it does not drain
     bool reserved = false;     // its VM is about to move or to go down
     bool upkeep_due = false;   // its VM will go down in a wave
-    bool leaving = false;      // it announced its shutdown, or its VM was ordered away
+    bool leaving = false;      // a notice of its shutdown came, or its VM is not up
     time_ms leaving_since{0};
+    bool says_draining = false; // this life has announced that it drains
+    bool notice_came = false;   // of its shutdown; the notice may be of a former life
     // Time of an order that ended this life unless it had been carried out before; 0 if none.
     time_ms ordered_away_at{0};
     time_ms reported_at{0};
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -307,6 +307,8 @@
         std::int64_t next_life = 0;
         if (found == workers_.end() && is_answered_at(value.address))
             answer = order_answer::other_life;
+        else if (found == workers_.end() && refusing_addresses_.contains(value.address))
+            answer = order_answer::not_sent;
         // Nothing can bar an order that reaches a new life before the leader does.
         const bool unbarred =
             late && found != workers_.end() &&
@@ -699,6 +701,11 @@
     workers_.at(vm.worker).address = address;
 }
 
+void fake_fleet::shut_down(const std::string& worker) {
+    refusing_addresses_.insert(workers_.at(worker).address);
+    end_worker(worker);
+}
+
 bool fake_fleet::is_answered_at(const std::string& address) const {
     return std::ranges::any_of(workers_, [&](const auto& item) {
         return item.second.address == address && !item.second.unresponsive;
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -99,6 +99,8 @@
     // Ends the worker's process and starts it again under its id and address. The new life knows
     // nothing of before.
     void restart(const std::string& worker);
+    // Ends the worker's process; calls to its address are refused.
+    void shut_down(const std::string& worker);
     // Ends the worker's process; its VM starts one under a new id at the same address.
     void replace_at_address(const std::string& worker);
     // Announcement of the worker, as it would be sent now.
@@ -176,6 +178,7 @@
     std::unique_ptr<controller> controller_;
     std::map<std::string, fake_worker> workers_;
     std::map<std::string, fake_vm> vms_;
+    std::set<std::string> refusing_addresses_;
     std::multimap<time_ms, std::function<void()>> events_;
     std::vector<std::string> violations_;
     std::map<task_id, std::set<std::uint32_t>> done_runs_;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(order_for_former_life_is_sent);
     CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
     CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
+    CPPUNIT_TEST(late_notice_of_leaving_stops_the_next_life);
+    CPPUNIT_TEST(tasks_wait_for_lease_after_unannounced_shutdown);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(repeated_upkeep_is_not_taken_for_the_end_of_a_worker);
     CPPUNIT_TEST(unanswered_vm_orders_violate_no_invariant);
@@ -430,6 +432,57 @@
         assert_no_violations(fleet);
     }
 
+    // Another node was frozen while two workers left and started again under their ids, and passed
+    // their notices on when it woke. The tasks of the new lives were stopped, and none started on
+    // them any more.
+    void late_notice_of_leaving_stops_the_next_life() {
+        fleet_options options;
+        options.vm_orders = false;
+        options.pools = {{"a", 2}};
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        std::vector<std::string> ids;
+        for (const auto& [id, item] : fleet.workers())
+            ids.push_back(id);
+        for (const auto& id : ids)
+            fleet.restart(id);
+        fleet.run_for(2'000);
+        auto step = make_long_running_step(2, 1'000, 1);
+        step.max_per_worker = 1;
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(step)));
+        fleet.run_for(3'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_runs(fleet));
+        const auto starts = fleet.control().counters().starts;
+        for (const auto& id : ids)
+            fleet.control().observe_leaving(id, fleet.now());
+        for (const auto& id : ids)
+            CPPUNIT_ASSERT(!accepts_runs(fleet.control().workers().at(id), fleet.now()));
+        fleet.run_for(3'000);
+        assert_no_violations(fleet);
+        CPPUNIT_ASSERT_EQUAL(starts, fleet.control().counters().starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, count_runs(fleet));
+        for (const auto& id : ids)
+            CPPUNIT_ASSERT(accepts_runs(fleet.control().workers().at(id), fleet.now()));
+    }
+
+    // A new leader may learn of a shutdown only from its notice. The tasks of a worker that has
+    // ended must not wait until the end of the lease.
+    void tasks_wait_for_lease_after_unannounced_shutdown() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_long_running_step(4, 3'000, 1))));
+        fleet.run_for(2'000);
+        const auto worker = busiest_worker(fleet);
+        fleet.control().observe_leaving(worker, fleet.now());
+        fleet.run_for(20);
+        fleet.shut_down(worker);
+        fleet.run_for(1'500);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_runs(fleet));
+        assert_no_violations(fleet);
+    }
+
     void new_leader_neither_loses_nor_duplicates_work() {
         fleet_options options;
         options.commit_loss = 0.5;
