Look up former holders of an address without an index

Cause: worker_by_address_ kept the former address of a worker that had announced another one, and then named a worker that was gone.

Change: no index; the first answer of a worker ends all others at its address that were known before the call.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -53,7 +53,6 @@
 void controller::stop_leading() {
     fence_ = 0;
     workers_.clear();
-    worker_by_address_.clear();
     starting_.clear();
     views_.clear();
     changed_jobs_.clear();
@@ -124,13 +123,7 @@
 }
 
 void controller::drop_worker(const std::string& id) {
-    const auto it = workers_.find(id);
-    if (it == workers_.end())
-        return;
-    const auto address = worker_by_address_.find(it->second.address);
-    if (address != worker_by_address_.end() && address->second == id)
-        worker_by_address_.erase(address);
-    workers_.erase(it);
+    workers_.erase(id);
 }
 
 // Puts the next life of a worker in the place of one that has ended. The runs that the former life
@@ -202,10 +195,8 @@
     auto& item = it->second;
     if (!added && item.ref.started_at > report.worker.started_at)
         return false;
-    if (!added && item.ref.started_at < report.worker.started_at) {
-        worker_by_address_.erase(item.address);
+    if (!added && item.ref.started_at < report.worker.started_at)
         replace_life(item, report.worker.started_at, now);
-    }
     if (added)
         item.seen_since = now;
     if (item.reported && report.sequence <= item.sequence)
@@ -255,16 +246,20 @@
            });
 }
 
-// Handles the first answer of a worker. It proves that the worker which answered at its address
-// before has ended; an announcement alone does not, because anyone may send one.
-void controller::take_address(const worker& holder) {
-    const auto [it, added] = worker_by_address_.try_emplace(holder.address, holder.ref.id);
-    if (added || it->second == holder.ref.id)
-        return;
-    auto& former = workers_.at(it->second);
-    mark_runs_lost(former, "address reused");
-    drop_worker(std::string(former.ref.id));
-    worker_by_address_[holder.address] = holder.ref.id;
+// Handles the first answer of a worker, to a call sent at `sent_at`. It proves that all workers
+// which were at its address before have ended; an announcement alone does not, because anyone may
+// send one. A look at all workers for each new one costs less than an index that follows changes of
+// addresses.
+void controller::end_former_holders(const worker& holder, time_ms sent_at) {
+    std::vector<std::string> former;
+    for (auto& [id, item] : workers_) {
+        if (item.address != holder.address || id == holder.ref.id || item.seen_since >= sent_at)
+            continue;
+        mark_runs_lost(item, "address reused");
+        former.push_back(id);
+    }
+    for (const auto& id : former)
+        drop_worker(id);
 }
 
 void controller::observe_leaving(const std::string& id, time_ms now) {
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -94,7 +94,7 @@
         from->refused_holds = 0;
         from->hold_unanswered = false;
         if (!std::exchange(from->contacted, true))
-            take_address(*from);
+            end_former_holders(*from, sent_at);
         from->unanswered_start_at = 0;
         from->clock = lists.clock;
         from->clock_seen_at = received_at;
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -116,6 +116,8 @@
             replaced(valid_announcement, "10.0.0.9:80", "10.0.0.9"),
             replaced(valid_announcement, "\"Cpu\":16000", "\"Cpu\":\"many\""),
             replaced(valid_announcement, "\"Labels\":[\"a\",\"r1-3\"]", "\"Labels\":[1]"),
+            replaced(valid_announcement, ",\"born\":1700000000123", ""),
+            replaced(valid_announcement, "1700000000123", "\"long ago\""),
             "\xff\xfe",
             "{"};
         for (const auto& body : malformed)
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(order_for_former_life_is_sent);
     CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
     CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
+    CPPUNIT_TEST(worker_at_a_former_address_of_another_ends_the_process);
     CPPUNIT_TEST(late_notice_of_leaving_stops_the_next_life);
     CPPUNIT_TEST(tasks_wait_for_lease_after_unannounced_shutdown);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
@@ -432,6 +433,31 @@
         assert_no_violations(fleet);
     }
 
+    // A worker announced another address and was forgotten. The next worker at its first address
+    // was taken for its successor there, and the leader aborted.
+    void worker_at_a_former_address_of_another_ends_the_process() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        const auto mover = fleet.workers().begin()->first;
+        const auto first_address = fleet.workers().at(mover).address;
+        fleet.workers().at(mover).address = "10.0.1.1:80";
+        fleet.announce_now(mover);
+        fleet.run_for(100);
+        fleet.shut_down(mover);
+        fleet.control().observe_leaving(mover, fleet.now());
+        fleet.run_for(1'000);
+        CPPUNIT_ASSERT(!fleet.control().workers().contains(mover));
+        const auto next = fleet.workers().begin()->first;
+        fleet.replace_at_address(next);
+        auto& successor = fleet.workers().rbegin()->second;
+        successor.address = first_address;
+        fleet.announce_now(successor.ref.id);
+        fleet.run_for(200);
+        CPPUNIT_ASSERT(accepts_runs(fleet.control().workers().at(successor.ref.id), fleet.now()));
+    }
+
     // Another node was frozen while two workers left and started again under their ids, and passed
     // their notices on when it woke. The tasks of the new lives were stopped, and none started on
     // them any more.
