Check the range of all integers of the platform's messages

A list of runs with the run number -1, or a port of 70000 in a changed settings file, would have ended the process.

Cause: json::value::to_number throws an exception that nothing handles, and large numbers were cast beyond the range of their type.

Seen to fail with the code before: decodes_worker_lists, decodes_settings.

--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -201,7 +201,15 @@
         CPPUNIT_ASSERT(run_end::done == result.lists.ended[0].how);
         const std::string malformed[] = {
             R"({"Running":[],"Ended":[]})", R"({"ClockMs":1,"Ended":[[1,"x",1,"done",""]]})",
-            R"({"ClockMs":1,"Ended":[[1,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})"};
+            R"({"ClockMs":1,"Ended":[[1,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})",
+            // Numbers that the types cannot hold ended the process.
+            R"({"ClockMs":1e300,"Running":[],"Ended":[]})",
+            R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.9",-1,"",41]]})",
+            R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.9",4294967296,"",41]]})",
+            R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.9",1,"",1e300]]})",
+            R"({"ClockMs":1,"Running":[["5c0e7a21d94b36f8.0.1.9",1,"",41,-1e300]]})",
+            R"({"ClockMs":1,"Ended":[[-1,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+            R"({"ClockMs":1,"Ended":[[1,"5c0e7a21d94b36f8.0.1.9",1e300,"done",""]]})"};
         for (const auto& body : malformed)
             CPPUNIT_ASSERT_MESSAGE(body,
                                    order_answer::invalid ==
@@ -273,6 +281,9 @@
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.11:7061"), metrics_address(value));
         for (const std::string invalid : {"", "[]", "{\"Node\":\"x\"}", "{\"Node\""})
             CPPUNIT_ASSERT(std::holds_alternative<std::string>(decode_settings(invalid)));
+        for (const std::string ports : {"[-1,7075]", "[7060,70000]", "[7060,1e300]", "[0,1]"})
+            CPPUNIT_ASSERT(std::holds_alternative<std::string>(
+                decode_settings(replaced(text, "[7060,7075]", ports))));
     }
 };
 
