--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(rejects_malformed_jobs);
     CPPUNIT_TEST(encodes_orders);
     CPPUNIT_TEST(decodes_worker_lists);
+    CPPUNIT_TEST(unclear_answer_to_a_start_counts_as_a_refusal);
     CPPUNIT_TEST(detects_another_life_of_a_worker);
     CPPUNIT_TEST(decodes_conflicts);
     CPPUNIT_TEST(skips_malformed_vms);
@@ -216,6 +217,21 @@
                                        protocol_.decode_answer(hold_order{}, 200, body).answer);
     }
 
+    // A start with an unreadable answer was taken for refused, and its task started again.
+    void unclear_answer_to_a_start_counts_as_a_refusal() {
+        for (const std::string body : {"{\"ClockMs\":", "[]", "null"})
+            CPPUNIT_ASSERT_MESSAGE(body,
+                                   order_answer::no_answer ==
+                                       protocol_.decode_answer(start_order{}, 200, body).answer);
+        for (const unsigned status : {500U, 502U, 504U, 408U})
+            CPPUNIT_ASSERT(order_answer::no_answer ==
+                           protocol_.decode_answer(start_order{}, status, "").answer);
+        CPPUNIT_ASSERT(order_answer::invalid ==
+                       protocol_.decode_answer(start_order{}, 400, "").answer);
+        CPPUNIT_ASSERT(order_answer::invalid ==
+                       protocol_.decode_answer(start_order{}, 409, "[]").answer);
+    }
+
     // A worker that restarted under its id has no record of its earlier runs.
     void detects_another_life_of_a_worker() {
         hold_order order;
