Resume all members of a gang from one checkpoint

Cause: the checkpoint of an ended run was set for all members, that of a lost run for one.

Change: one value for all. That of a lost run counts only while no other member has ended.

--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -140,6 +140,17 @@
     return true;
 }
 
+// The members of a gang resume from one checkpoint.
+void job_table::save_checkpoint(job& owner, const task_id& id, const std::string& checkpoint) {
+    auto& tasks = owner.occurrences[id.occurrence].steps[id.step].tasks;
+    if (!owner.spec.steps[id.step].gang) {
+        tasks[id.index].checkpoint = checkpoint;
+        return;
+    }
+    for (auto& member : tasks)
+        member.checkpoint = checkpoint;
+}
+
 // Returns an assigned task to the waiting tasks.
 void job_table::release(job& owner, const task_id& id, task& item) {
     item.phase = task_phase::waiting;
@@ -197,13 +208,8 @@
     }
     if (!current)
         return false;
-    if (!op.checkpoint.empty()) {
-        item->checkpoint = op.checkpoint;
-        if (spec.gang) {
-            for (auto& member : owner->occurrences[op.task.occurrence].steps[op.task.step].tasks)
-                member.checkpoint = op.checkpoint;
-        }
-    }
+    if (!op.checkpoint.empty())
+        save_checkpoint(*owner, op.task, op.checkpoint);
     release(*owner, op.task, *item);
     if (op.how == run_end::failed && ++item->failures >= owner->attempts && !spec.long_running &&
         !owner->ended())
@@ -217,8 +223,14 @@
     auto* item = task_of(op.task, &owner);
     if (!item || item->phase != task_phase::assigned || item->run != op.run)
         return false;
-    if (!op.checkpoint.empty())
-        item->checkpoint = op.checkpoint;
+    // What a member had listed before it was lost is older than what the others saved at their end.
+    const auto& step = owner->occurrences[op.task.occurrence].steps[op.task.step];
+    const bool others_ended = owner->spec.steps[op.task.step].gang &&
+                              !std::ranges::all_of(step.tasks, [&](const task& member) {
+                                  return member.phase == task_phase::assigned;
+                              });
+    if (!op.checkpoint.empty() && !others_ended)
+        save_checkpoint(*owner, op.task, op.checkpoint);
     release(*owner, op.task, *item);
     close_if_idle(*owner);
     return true;
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -198,6 +198,7 @@
     task* task_of(const task_id& id, job** owner);
     void finish_task(job& owner, const task_id& id);
     void finish_gang(job& owner, const task_id& id);
+    static void save_checkpoint(job& owner, const task_id& id, const std::string& checkpoint);
     void release(job& owner, const task_id& id, task& item);
     void end_job(job& owner, job_state state);
     void close_if_idle(job& owner);
--- a/tests/workload/job_table_test.cpp
+++ b/tests/workload/job_table_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(no_start_after_cancel);
     CPPUNIT_TEST(fails_after_max_attempts);
     CPPUNIT_TEST(one_done_member_completes_gang);
+    CPPUNIT_TEST(lost_member_of_a_gang_resumes_from_another_checkpoint);
     CPPUNIT_TEST(late_end_of_lost_run_counts_unless_newer_run_started);
     CPPUNIT_TEST(long_running_tasks_wait_again_after_any_end);
     CPPUNIT_TEST(save_and_load_keep_all_state);
@@ -124,6 +125,38 @@
         CPPUNIT_ASSERT_EQUAL(1U, table_.find_job("j1")->occurrences[0].steps_done);
     }
 
+    // A worker crashed with one member of a gang. The others ended with a newer checkpoint than the
+    // one that the lost member had listed, and the gang was started with both.
+    void lost_member_of_a_gang_resumes_from_another_checkpoint() {
+        for (const bool lost_first : {false, true}) {
+            table_ = {};
+            auto gang = two_steps();
+            gang.spec.steps[0].gang = true;
+            gang.spec.steps[0].count = 3;
+            apply(gang);
+            for (std::uint32_t i = 0; i < 3; ++i)
+                start(0, i, 1);
+            const lose_run lost{{"j1", 0, 0, 2}, 1, "older"};
+            if (lost_first)
+                apply(lost);
+            apply(end_run{{"j1", 0, 0, 0}, 1, run_end::broken, "newer"});
+            apply(end_run{{"j1", 0, 0, 1}, 1, run_end::broken, "newer"});
+            if (!lost_first)
+                apply(lost);
+            for (std::uint32_t i = 0; i < 3; ++i)
+                CPPUNIT_ASSERT_EQUAL(std::string("newer"),
+                                     table_.find_task({"j1", 0, 0, i})->checkpoint);
+            // All members are lost: the first value serves for all.
+            for (std::uint32_t i = 0; i < 3; ++i)
+                start(0, i, 2);
+            for (std::uint32_t i = 0; i < 3; ++i)
+                apply(lose_run{{"j1", 0, 0, i}, 2, "listed by " + std::to_string(i)});
+            for (std::uint32_t i = 0; i < 3; ++i)
+                CPPUNIT_ASSERT_EQUAL(std::string("listed by 0"),
+                                     table_.find_task({"j1", 0, 0, i})->checkpoint);
+        }
+    }
+
     void late_end_of_lost_run_counts_unless_newer_run_started() {
         apply(two_steps());
         start(0, 0, 1);
