Log the cancel of a job that is not known yet

Cause: a cancel of an unknown id left no trace.

Change: it is logged before it is answered and kept for 180 s, as ended jobs are, at most 20,000 of them; beyond that it is answered 503. A later submission is stored as cancelled.

Seen to fail with the code before: cluster_test::submission_that_arrives_after_its_cancel_runs.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -717,19 +717,22 @@
 void job_control::cancel(const std::string& id, const wire::call& request,
                          const reply_handler& reply) {
     const auto* job = table_.find_job(id);
-    // A job that is not committed yet is cancelled by a later log entry.
-    if (!job && !submissions_.contains(id))
-        return reply(make_reply(request.id, status_gone));
     if (job && job->ended())
         return reply(make_reply(request.id, status_ok));
+    if (table_.is_cancelled_early(id))
+        return reply(make_reply(request.id, status_gone));
+    // An unknown job may still arrive: a node that is frozen holds submissions of its callers.
+    const auto status = job || submissions_.contains(id) ? status_ok : status_gone;
     log_event(log_level::info, "job_cancelled").field("job", id).field("committed", !!job);
-    propose({cancel_job{id}},
-            [this, reply, request_id = request.id](const command_outcome& result) {
-                if (!result)
-                    return;
-                reply(make_reply(request_id, status_ok));
-                request_round();
-            });
+    propose({cancel_job{id}}, [this, reply, status,
+                               request_id = request.id](const command_outcome& result) {
+        if (!result)
+            return;
+        if (!result->front())
+            return reply(make_reply(request_id, status_unavailable, {}, overload_retry_after));
+        reply(make_reply(request_id, status));
+        request_round();
+    });
 }
 
 void job_control::handle_fleet(const wire::call& call, const reply_handler& reply) {
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -377,6 +377,8 @@
             changed = table_.find_job(canceled->id);
         else if (const auto* ended = std::get_if<end_run>(&item))
             changed = table_.find_job(ended->task.job);
+        else if (const auto* submitted = std::get_if<submit_job>(&item))
+            changed = table_.find_job(submitted->id); // it may be cancelled already
         if (!changed || !changed->ended())
             continue;
         expected_starts_.erase(changed->id);
--- a/src/workload/job_codec.cpp
+++ b/src/workload/job_codec.cpp
@@ -17,6 +17,8 @@
 constexpr std::uint8_t table_format = 1;
 // A table with an unfinished operation, which older versions cannot read.
 constexpr std::uint8_t table_format_unfinished = 2;
+// As above, with cancels of jobs that are not submitted.
+constexpr std::uint8_t table_format_early_cancels = 3;
 
 // Type, offset, last flag and length of an operation part.
 constexpr std::size_t part_header_bytes = 1 + 8 + 1 + 4;
@@ -487,7 +489,10 @@
 
 std::string job_table::save() const {
     writer out;
-    out.u8(unfinished_.bytes.empty() ? table_format : table_format_unfinished);
+    const auto format = !early_cancels_.empty()      ? table_format_early_cancels
+                        : !unfinished_.bytes.empty() ? table_format_unfinished
+                                                     : table_format;
+    out.u8(format);
     put(out, now_);
     put(out, config_);
     write_list(out, holders_, [&](const auto& item) {
@@ -509,7 +514,12 @@
             out.u8(static_cast<std::uint8_t>(vm.second));
         });
     });
-    if (!unfinished_.bytes.empty()) {
+    if (format == table_format_early_cancels)
+        write_list(out, early_cancel_times_, [&](const auto& item) {
+            put(out, item.first);
+            out.text(item.second);
+        });
+    if (format != table_format) {
         out.u64(unfinished_.term);
         out.text(unfinished_.bytes);
     }
@@ -521,7 +531,7 @@
     if (!bytes.empty()) {
         reader in(bytes);
         const auto format = in.u8();
-        if (format != table_format && format != table_format_unfinished)
+        if (format < table_format || format > table_format_early_cancels)
             return false;
         loaded.now_ = read_i64(in);
         loaded.config_ = read_configuration_value(in);
@@ -557,7 +567,12 @@
             const auto number = item.order.number;
             loaded.waves_.emplace(number, std::move(item));
         });
-        if (format == table_format_unfinished) {
+        if (format == table_format_early_cancels)
+            read_list(in, [&] {
+                const auto at = read_i64(in);
+                loaded.add_early_cancel(at, in.text());
+            });
+        if (format != table_format) {
             loaded.unfinished_.term = in.u64();
             loaded.unfinished_.bytes = in.text();
         }
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -108,13 +108,26 @@
         first.steps.push_back(new_progress(step));
     added.occurrences.assign(occurrence_count(op.spec), first);
     open_.emplace(op.id, &added);
+    if (is_cancelled_early(op.id))
+        end_job(added, job_state::canceled);
     return true;
 }
 
+void job_table::add_early_cancel(time_ms at, std::string id) {
+    early_cancels_.insert(id);
+    early_cancel_times_.emplace_back(at, std::move(id));
+}
+
 bool job_table::apply_operation(const cancel_job& op) {
     const auto it = jobs_.find(op.id);
-    if (it == jobs_.end())
-        return false;
+    if (it == jobs_.end()) {
+        if (is_cancelled_early(op.id))
+            return true;
+        if (early_cancels_.size() >= max_early_cancels)
+            return false;
+        add_early_cancel(now_, op.id);
+        return true;
+    }
     if (!it->second.ended())
         end_job(it->second, job_state::canceled);
     return true;
@@ -298,6 +311,11 @@
         }
         ended_.erase(ended_.begin());
     }
+    while (!early_cancel_times_.empty() &&
+           early_cancel_times_.front().first + ended_job_retention < now_) {
+        early_cancels_.erase(early_cancel_times_.front().second);
+        early_cancel_times_.pop_front();
+    }
 }
 
 } // namespace clementine::workload
--- a/src/workload/job_table.h
+++ b/src/workload/job_table.h
@@ -4,11 +4,14 @@
 
 #include "workload/types.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -18,6 +21,10 @@
 // clock; the rest allows for steps of the leader's wall clock.
 inline constexpr time_ms ended_job_retention{180'000};
 
+// Most jobs whose cancels are kept although they were not submitted: about 2 MB. They are kept as
+// long as ended jobs.
+inline constexpr std::size_t max_early_cancels = 20'000;
+
 enum class job_state { queued, active, completed, failed, canceled };
 
 inline constexpr name_table<5> job_state_names{"queued", "active", "completed", "failed",
@@ -95,6 +102,7 @@
     std::uint32_t attempts = 1;
     job_spec spec;
 };
+// Also takes effect on a job that is submitted later.
 struct cancel_job {
     std::string id;
 };
@@ -172,6 +180,8 @@
     const configuration& config() const { return config_; }
     const std::map<std::string, job, std::less<>>& jobs() const { return jobs_; }
     const job* find_job(std::string_view id) const;
+    // True if a job that was not submitted yet is cancelled.
+    bool is_cancelled_early(const std::string& id) const { return early_cancels_.contains(id); }
     const task* find_task(const task_id& id) const;
     // Jobs that have not ended and ended jobs with assigned runs, by id.
     const std::map<std::string, const job*>& open_jobs() const { return open_; }
@@ -203,6 +213,7 @@
     void end_job(job& owner, job_state state);
     void close_if_idle(job& owner);
     void drop_expired();
+    void add_early_cancel(time_ms at, std::string id);
 
     // Parts of an operation whose last part is not logged yet. Parts of another term belong to an
     // operation whose proposer lost its leadership.
@@ -221,6 +232,8 @@
     std::unordered_map<std::string_view, job*> index_;
     std::map<std::string, const job*> open_; // points into `jobs_`, whose nodes never move
     std::map<time_ms, std::vector<std::string>> ended_; // ids by end time
+    std::unordered_set<std::string> early_cancels_;
+    std::deque<std::pair<time_ms, std::string>> early_cancel_times_; // in the order of the log
     std::map<std::uint64_t, wave> waves_;
     std::map<std::string, vm_holder> holders_;
     time_ms now_{0};         // of the command being applied
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(caller_does_not_wait_for_a_lost_majority);
     CPPUNIT_TEST(resend_during_the_commit_is_not_refused);
     CPPUNIT_TEST(cancel_during_the_commit_takes_effect);
+    CPPUNIT_TEST(submission_that_arrives_after_its_cancel_runs);
     CPPUNIT_TEST(two_large_configurations_at_once_block_the_log);
     CPPUNIT_TEST(configuration_larger_than_a_log_entry_is_refused);
     CPPUNIT_TEST(configuration_larger_than_a_frame_is_not_forwarded);
@@ -548,6 +549,19 @@
         stop_small_cluster(*entry);
     }
 
+    // The cancel of a job was acknowledged while its submission was held up in another node.
+    void submission_that_arrives_after_its_cancel_runs() {
+        const auto entry = start_small_cluster();
+        const std::string id = "00000000000000c2";
+        const auto entry_address = address(9, callers_port);
+        CPPUNIT_ASSERT_EQUAL(410U, call(entry_address, job_request("DELETE", id)).status);
+        CPPUNIT_ASSERT_EQUAL(410U, call(entry_address, job_request("GET", id)).status);
+        CPPUNIT_ASSERT_EQUAL(200U, call(entry_address, job_request("POST", id, long_job)).status);
+        CPPUNIT_ASSERT_EQUAL(std::string(R"({"State":"canceled"})"),
+                             call(entry_address, job_request("GET", id)).body);
+        stop_small_cluster(*entry);
+    }
+
     // The size of a configuration that has grown by many routes; two of them exceed a log entry.
     static std::string large_configuration(int version, int routes = 1'400) {
         auto out = configuration(version);
