Refuse jobs that no replica can hold, at the edge and in the log

Cause: the product of tasks and occurrences overflowed before it was compared with the limit.

Change: job_spec::has_allowed_size divides instead. The job table applies it as well, so that a log with such an entry can be read. Resources, durations and times from outside have stated ranges, and the work of a job a limit.

Seen to fail with the code before: rejects_malformed_jobs.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -704,8 +704,9 @@
         const auto callers = submissions_.extract(id);
         if (!result || callers.empty())
             return; // sent again to the next leader
+        const auto status = result->front() ? status_ok : status_bad_request;
         for (const auto& caller : callers.mapped())
-            caller.reply(make_reply(caller.request_id, status_ok));
+            caller.reply(make_reply(caller.request_id, status));
         request_round();
     });
     if (!proposed) {
--- a/src/workload/job_table.cpp
+++ b/src/workload/job_table.cpp
@@ -92,6 +92,9 @@
 }
 
 bool job_table::apply_operation(const submit_job& op) {
+    // An earlier build accepted jobs whose tasks no memory holds; its log may still have them.
+    if (!op.spec.has_allowed_size())
+        return false;
     const auto [it, is_new] = jobs_.try_emplace(op.id);
     if (!is_new)
         return true;
--- a/src/workload/types.cpp
+++ b/src/workload/types.cpp
@@ -1,7 +1,25 @@
 #include "workload/types.h"
 
+#include <algorithm>
+
 namespace clementine::workload {
 
+// Divides instead of multiplying, because the product may exceed any integer.
+bool job_spec::has_allowed_size() const {
+    std::uint64_t tasks = 0;
+    for (const auto& step : steps)
+        tasks += step.count;
+    return tasks > 0 && tasks <= max_tasks_per_job / std::max<std::uint32_t>(1, times);
+}
+
+double job_spec::total_work() const {
+    double out = 0;
+    for (const auto& step : steps)
+        out += static_cast<double>(step.count) * static_cast<double>(step.need.cpu) *
+               static_cast<double>(step.estimate);
+    return out * std::max<std::uint32_t>(1, times);
+}
+
 resources& resources::operator+=(const resources& other) {
     cpu += other.cpu;
     memory += other.memory;
--- a/src/workload/types.h
+++ b/src/workload/types.h
@@ -31,6 +31,19 @@
 resources operator+(resources left, const resources& right);
 resources operator-(resources left, const resources& right);
 
+// Largest number of tasks of a job in all its occurrences. The table keeps some 100 bytes for each.
+inline constexpr std::uint64_t max_tasks_per_job = 20'000;
+// Largest work of a job in all its occurrences, in thousandths of a core times ms: 11,000 days of a
+// core. The sum over thousands of jobs stays in range.
+inline constexpr double max_job_work = 1e15;
+// Largest amount of each resource of a task or worker.
+inline constexpr std::int64_t max_resource = 1'000'000'000;
+// Longest duration in a specification: a year.
+inline constexpr time_ms max_duration{366LL * 24 * 3'600 * 1'000};
+// Latest wall clock time in a specification, in ms since 1970; the sum with a duration for each
+// occurrence stays in range.
+inline constexpr time_ms max_wall_time{1LL << 53};
+
 // One step of a job: `count` identical tasks that start once all steps it depends on are done.
 struct step_spec {
     std::uint32_t count = 0;
@@ -63,6 +76,10 @@
     time_ms interval{0};
 
     bool operator==(const job_spec&) const = default;
+    // True if the job has tasks, and at most `max_tasks_per_job`.
+    bool has_allowed_size() const;
+    // Estimated work of all tasks, in thousandths of a core times ms.
+    double total_work() const;
 };
 
 // A queue of jobs, selected by host and longest path prefix.
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -116,6 +116,8 @@
             replaced(valid_announcement, "10.0.0.9:80", "worker.example:80"),
             replaced(valid_announcement, "10.0.0.9:80", "10.0.0.9"),
             replaced(valid_announcement, "\"Cpu\":16000", "\"Cpu\":\"many\""),
+            replaced(valid_announcement, "\"Cpu\":16000", "\"Cpu\":9223372036854775807"),
+            replaced(valid_announcement, "\"MemMb\":32768", "\"MemMb\":-1"),
             replaced(valid_announcement, "\"Labels\":[\"a\",\"r1-3\"]", "\"Labels\":[1]"),
             replaced(valid_announcement, ",\"born\":1700000000123", ""),
             replaced(valid_announcement, "1700000000123", "\"long ago\""),
@@ -149,15 +151,26 @@
     }
 
     void rejects_malformed_jobs() {
-        const std::string malformed[] = {"",
-                                         "{}",
-                                         R"({"Steps":[]})",
-                                         R"({"Steps":[{"Cpu":5}]})",
-                                         R"({"Steps":[{"Count":-1}]})",
-                                         R"({"Steps":[{"Count":1,"DependsOn":[0]}]})",
-                                         R"({"Steps":[{"Count":1,"DependsOn":[-1]}]})",
-                                         R"({"Steps":[{"Count":"2"}]})",
-                                         R"({"Steps":[{"Count":4000000000}]})"};
+        const std::string malformed[] = {
+            "",
+            "{}",
+            R"({"Steps":[]})",
+            R"({"Steps":[{"Cpu":5}]})",
+            R"({"Steps":[{"Count":-1}]})",
+            R"({"Steps":[{"Count":1,"DependsOn":[0]}]})",
+            R"({"Steps":[{"Count":1,"DependsOn":[-1]}]})",
+            R"({"Steps":[{"Count":"2"}]})",
+            R"({"Steps":[{"Count":4000000000}]})",
+            R"({"Times":4294967295,"Steps":[{"Count":4294967295}]})",
+            R"({"Times":10001,"Steps":[{"Count":2}]})",
+            R"({"Steps":[{"Count":1,"Cpu":-1}]})",
+            R"({"Steps":[{"Count":1,"MemMb":9223372036854775807}]})",
+            R"({"Steps":[{"Count":1,"EstimateMs":1e18}]})",
+            R"({"Steps":[{"Count":1,"TargetMs":-5}]})",
+            R"({"StartAtMs":9223372036854775807,"Steps":[{"Count":1}]})",
+            R"({"IntervalMs":1e300,"Steps":[{"Count":1}]})",
+            R"({"Steps":[{"Count":20000,"Cpu":1000000,)"
+            R"("EstimateMs":1000000000}]})"};
         for (const auto& body : malformed) {
             std::string reason;
             CPPUNIT_ASSERT_MESSAGE(body, !protocol_.decode_job(body, reason).has_value());
--- a/tests/workload/job_table_test.cpp
+++ b/tests/workload/job_table_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(one_job_per_id);
     CPPUNIT_TEST(starts_only_after_dependencies);
     CPPUNIT_TEST(no_start_after_cancel);
+    CPPUNIT_TEST(job_of_too_many_tasks_ends_the_process);
     CPPUNIT_TEST(submission_after_its_cancel_starts);
     CPPUNIT_TEST(early_cancels_are_bounded);
     CPPUNIT_TEST(fails_after_max_attempts);
@@ -101,6 +102,23 @@
         CPPUNIT_ASSERT(job_state::canceled == state());
     }
 
+    // One job in the log ended each replica that applied it, again at each start.
+    void job_of_too_many_tasks_ends_the_process() {
+        auto huge = two_steps();
+        huge.spec.times = UINT32_MAX;
+        for (auto& step : huge.spec.steps)
+            step.count = UINT32_MAX;
+        CPPUNIT_ASSERT(!apply(huge));
+        huge.spec.times = 10'000;
+        huge.spec.steps[0].count = huge.spec.steps[1].count = 1;
+        CPPUNIT_ASSERT(huge.spec.has_allowed_size());
+        ++huge.spec.times;
+        CPPUNIT_ASSERT(!apply(huge));
+        huge.spec.steps.clear();
+        CPPUNIT_ASSERT(!apply(huge));
+        CPPUNIT_ASSERT(table_.jobs().empty());
+    }
+
     // A frozen node passed a submission on after the cancel of its job had been acknowledged, and
     // the job ran.
     void submission_after_its_cancel_starts() {
