--- a/src/wire/channel_server.h
+++ b/src/wire/channel_server.h
@@ -36,7 +36,8 @@
     std::string listen(const boost::asio::ip::tcp::endpoint& local);
     // Bound port; tells which port the system chose if `listen` was given port 0.
     unsigned short port() const { return port_; }
-    // Closes the listener and all connections. May be called from any thread.
+    // Closes the listener and all connections, soon after the call returns. May be called from any
+    // thread.
     void stop();
 
   private:
