Send the stops for a worker's next life to the address that it announced

A worker that started again under its id at another address was sent the stops for its former life's runs at the former one. If another worker was there by then, its refusal was taken for the end of the new life, and the runs were given up while they could still begin.

Change: the next life takes the announced address before the stops are issued. Answers that settle a start no longer count below zero. A waiting order is kept once instead of in each callback.

Seen to fail with the former address: next_life_is_stopped_at_its_former_address.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -1003,16 +1003,17 @@
             });
         return;
     }
-    queue_work(work_class::worker_traffic, [this, value, fence = controller_.fence()](time_ms) {
+    const auto shared = std::make_shared<const order>(value);
+    queue_work(work_class::worker_traffic, [this, shared, fence = controller_.fence()](time_ms) {
         // Another leader, or a later term, decides anew.
         if (controller_.fence() != fence)
             return;
         // The order may wait for a connection until the lease of this node, or the life of the
         // worker, has ended.
         exchange_.send(
-            value, [this, value] { return log_->serving() && controller_.is_wanted(value); },
-            [this, value](const order_result& result, time_ms sent_at, time_ms received_at) {
-                queue_result(value, result, sent_at, received_at);
+            *shared, [this, shared] { return log_->serving() && controller_.is_wanted(*shared); },
+            [this, shared](const order_result& result, time_ms sent_at, time_ms received_at) {
+                queue_result(*shared, result, sent_at, received_at);
             });
     });
 }
--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -129,7 +129,8 @@
 // Puts the next life of a worker in the place of one that has ended. The runs that the former life
 // had begun have ended with it. Those that the next one may begin stay with it until a stop or the
 // fencing number of a hold has barred them, or no order can arrive and no lease can last any more.
-void controller::replace_life(worker& ended, std::int64_t started_at, time_ms now) {
+void controller::replace_life(worker& ended, std::int64_t started_at, const std::string& address,
+                              time_ms now) {
     std::vector<live_run> kept;
     for (const auto& item : ended.loose_starts) {
         if (now - item.sent_at > max_order_delay)
@@ -152,7 +153,7 @@
     ended_lives_.emplace(ended.ref, now);
     worker next;
     next.ref = {ended.ref.id, started_at};
-    next.address = ended.address;
+    next.address = address;
     next.seen_since = now;
     if (!kept.empty()) {
         next.inherited_lease_end = now + max_order_delay + max_worker_lease;
@@ -178,7 +179,7 @@
                                    std::uint64_t fence, time_ms now) {
     auto* const target = worker_of(former);
     if (target && fence == fence_)
-        replace_life(*target, started_at, now);
+        replace_life(*target, started_at, target->address, now);
 }
 
 bool controller::observe(const worker_report& report, time_ms now) {
@@ -196,7 +197,7 @@
     if (!added && item.ref.started_at > report.worker.started_at)
         return false;
     if (!added && item.ref.started_at < report.worker.started_at)
-        replace_life(item, report.worker.started_at, now);
+        replace_life(item, report.worker.started_at, report.address, now);
     if (added)
         item.seen_since = now;
     if (item.reported && report.sequence <= item.sequence)
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -165,7 +165,8 @@
     void inherit_runs(time_ms now);
     void inherit_load(time_ms now, time_ms wall);
     void mark_runs_lost(worker& gone, const char* reason);
-    void replace_life(worker& ended, std::int64_t started_at, time_ms now);
+    void replace_life(worker& ended, std::int64_t started_at, const std::string& address,
+                      time_ms now);
     void settle_start_for_former_life(const start_order& order, order_answer answer);
     void end_expired_lives(time_ms now);
     void drop_worker(const std::string& id);
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -328,7 +328,7 @@
     if (!run)
         return;
     run->order_under_way = false;
-    if (is_settled(answer))
+    if (is_settled(answer) && run->open_starts > 0)
         --run->open_starts;
     if (answer == order_answer::undelivered) {
         --run->start_attempts; // the review sends it again
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -301,7 +301,9 @@
     const auto sent = now_;
     const auto arrival = late ? now_ + random_.between(2'000, 12'000) : now_ + link_delay;
     schedule(arrival, [this, value, late, sent, term = term_] {
-        const auto found = workers_.find(value.worker.id);
+        auto found = workers_.find(value.worker.id);
+        if (found != workers_.end() && found->second.address != value.address)
+            found = workers_.end();
         auto answer = order_answer::no_answer;
         worker_lists lists;
         std::int64_t next_life = 0;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(late_orders_never_duplicate_tasks);
     CPPUNIT_TEST(start_for_former_life_runs_beside_its_repeat);
     CPPUNIT_TEST(order_for_former_life_is_sent);
+    CPPUNIT_TEST(next_life_is_stopped_at_its_former_address);
     CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
     CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
     CPPUNIT_TEST(worker_at_a_former_address_of_another_ends_the_process);
@@ -385,6 +386,37 @@
         return it->first;
     }
 
+    // A worker started again under its id at another address. Stops for it went to the former one,
+    // and the refusal by the next worker there was taken for the end of the new life.
+    void next_life_is_stopped_at_its_former_address() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        const auto worker = fleet.workers().begin()->first;
+        fleet.set_unresponsive(worker, true);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_step(4, 9'000, 5'000))));
+        fleet.run_for(60);
+        CPPUNIT_ASSERT(
+            !fleet.control().workers().at(worker).runs.empty()); // the start is on the way
+        auto& item = fleet.workers().at(worker);
+        const auto former_address = item.address;
+        const auto other = fleet.workers().rbegin()->first;
+        fleet.restart(worker);
+        item.unresponsive = false;
+        item.address = "10.0.1.1:80";
+        fleet.replace_at_address(other);
+        fleet.workers().rbegin()->second.address = former_address;
+        fleet.announce_now(worker);
+        fleet.run_for(1'000);
+        CPPUNIT_ASSERT(fleet.control().workers().contains(worker));
+        CPPUNIT_ASSERT(accepts_runs(fleet.control().workers().at(worker), fleet.now()));
+        assert_no_violations(fleet);
+        fleet.run_for(8'000);
+        CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(1))->state);
+        assert_no_violations(fleet);
+    }
+
     // An announcement with the address of a sound worker, but of a pool that does not exist or
     // under an id that nobody has, had the worker's tasks started elsewhere while they ran on.
     void announcement_of_another_writer_ends_a_worker() {
