Look up workers by address in an index that follows each change

The index is changed in one function, holds all workers of an address, and a missing worker is passed over. fleet_test: 62 of 62.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -53,6 +53,7 @@
 void controller::stop_leading() {
     fence_ = 0;
     workers_.clear();
+    ids_by_address_.clear();
     starting_.clear();
     views_.clear();
     changed_jobs_.clear();
@@ -82,7 +83,7 @@
                     // A run of a former life stays with the newest one, which may have begun it.
                     if (added || target.ref.started_at < ref.started_at) {
                         target.ref = ref;
-                        target.address = tasks[i].address;
+                        set_address(target, tasks[i].address);
                     }
                     target.seen_since = now;
                     target.inherited_lease_end = lease_end;
@@ -123,7 +124,25 @@
 }
 
 void controller::drop_worker(const std::string& id) {
-    workers_.erase(id);
+    const auto it = workers_.find(id);
+    if (it == workers_.end())
+        return;
+    set_address(it->second, {});
+    workers_.erase(it);
+}
+
+// The only place that changes the address of a known worker, so that the index follows.
+void controller::set_address(worker& target, const std::string& address) {
+    if (target.address == address)
+        return;
+    const auto [first, last] = ids_by_address_.equal_range(target.address);
+    const auto known =
+        std::find_if(first, last, [&](const auto& item) { return item.second == target.ref.id; });
+    if (known != last)
+        ids_by_address_.erase(known);
+    target.address = address;
+    if (!address.empty())
+        ids_by_address_.emplace(address, target.ref.id);
 }
 
 // Puts the next life of a worker in the place of one that has ended. The runs that the former life
@@ -151,6 +170,7 @@
         ended.remove({run.task, run.run});
     mark_runs_lost(ended, "started again");
     ended_lives_.emplace(ended.ref, now);
+    set_address(ended, address);
     worker next;
     next.ref = {ended.ref.id, started_at};
     next.address = address;
@@ -217,7 +237,7 @@
     item.ref = report.worker;
     item.sequence = report.sequence;
     item.pool = report.pool;
-    item.address = report.address;
+    set_address(item, report.address);
     item.availability_zone = report.availability_zone;
     item.kind = label_at(report.labels, 0);
     item.rack = label_at(report.labels, 1);
@@ -249,18 +269,21 @@
 
 // Handles the first answer of a worker, to a call sent at `sent_at`. It proves that all workers
 // which were at its address before have ended; an announcement alone does not, because anyone may
-// send one. A look at all workers for each new one costs less than an index that follows changes of
-// addresses.
+// send one.
 void controller::end_former_holders(const worker& holder, time_ms sent_at) {
-    std::vector<std::string> former;
-    for (auto& [id, item] : workers_) {
-        if (item.address != holder.address || id == holder.ref.id || item.seen_since >= sent_at)
-            continue;
-        mark_runs_lost(item, "address reused");
-        former.push_back(id);
+    std::vector<std::string> others;
+    const auto [first, last] = ids_by_address_.equal_range(holder.address);
+    for (auto it = first; it != last; ++it) {
+        if (it->second != holder.ref.id)
+            others.push_back(it->second);
     }
-    for (const auto& id : former)
+    for (const auto& id : others) {
+        const auto it = workers_.find(id);
+        if (it == workers_.end() || it->second.seen_since >= sent_at)
+            continue;
+        mark_runs_lost(it->second, "address reused");
         drop_worker(id);
+    }
 }
 
 void controller::observe_leaving(const std::string& id, time_ms now) {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace clementine::workload {
@@ -171,6 +172,7 @@
     void end_expired_lives(time_ms now);
     void drop_worker(const std::string& id);
     bool is_in_known_pool(const worker_report& report) const;
+    void set_address(worker& target, const std::string& address);
     void end_former_holders(const worker& holder, time_ms sent_at);
     void mark_lost(worker& target, const run_key& key);
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
@@ -218,7 +220,8 @@
     controller_settings settings_;
     std::uint64_t fence_ = 0;
     time_ms leading_since_{0};
-    std::map<std::string, worker> workers_;           // by id; the newest life of each
+    std::map<std::string, worker> workers_; // by id; the newest life of each
+    std::unordered_multimap<std::string, std::string> ids_by_address_;
     std::map<std::string, std::int64_t> blocked_cpu_; // by pool; see pool_demand::blocked
     std::map<task_id, advice> advice_;                // by the first task of the step
     int pending_advice_calls_ = 0;
