Review case 7: a worker that shuts down behind a one-way cut counts as ended while it works

Cause: controller::observe(hold_order) takes two answers not_sent from a worker that leaves as its end, and http_pool returns not_sent for a connection attempt that timed out as well as for one that was refused.

The worker's task is started elsewhere 0.7 s before its lease lapses.

The stand-ins' proxy accepts connections without a task now; cases 6 and 8 don't use it.

--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -151,27 +151,22 @@
         self.listener = socket.socket()
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.listener.bind(self.address)
-        self.listener.listen(0)
+        self.listener.listen(64)
         self.listener.setblocking(False)
-        self._spawn(self._accept())
+        asyncio.get_running_loop().add_reader(self.listener.fileno(), self._accept)
 
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _accept(self):
-        loop = asyncio.get_running_loop()
+    def _accept(self):
         while True:
-            await self.open["to"].wait()
             try:
-                accepted, _ = await asyncio.wait_for(loop.sock_accept(self.listener), 0.05)
-            except asyncio.TimeoutError:
-                continue
-            if not self.open["to"].is_set():
-                # Accepted in the moment of the cut: its opening packet counts as lost.
-                self.fillers.append(accepted)
-                continue
+                accepted, _ = self.listener.accept()
+            except OSError:
+                return
+            accepted.setblocking(False)
             self._spawn(self._serve(accepted))
 
     async def _serve(self, accepted):
@@ -212,6 +207,8 @@
         for direction in directions:
             self.open[direction].clear()
         if "to" in directions:
+            asyncio.get_running_loop().remove_reader(self.listener.fileno())
+            self.listener.listen(0)
             for _ in range(3):
                 filler = socket.socket()
                 filler.setblocking(False)
@@ -222,6 +219,8 @@
         for filler in self.fillers:
             filler.close()
         self.fillers.clear()
+        self.listener.listen(64)
+        asyncio.get_running_loop().add_reader(self.listener.fileno(), self._accept)
         for event in self.open.values():
             event.set()
 
@@ -233,6 +232,7 @@
         for filler in self.fillers:
             filler.close()
         if self.listener:
+            asyncio.get_running_loop().remove_reader(self.listener.fileno())
             self.listener.close()
 
 
