--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -251,6 +251,7 @@
         self.cpu = cpu
         self.kind = "a"
         self.stop_s = 0.05              # at most StopMs
+        self.check_ticket = None        # for queues with advice
         self.history = []
         self.alive = False
         self.server = None
@@ -358,6 +359,8 @@
             self._extend(body["UntilMs"])
             return 409, {"Reason": "old"}
         self._extend(body["UntilMs"])
+        if self.check_ticket and not self.check_ticket(self, body):
+            return 409, {"Reason": "ticket"}
         spec = json.loads(body["Spec"] or "{}")
         entry = [task, run, self.fleet.log.now(), None, None, self.id]
         self.history.append(entry)
@@ -604,6 +607,55 @@
             writer.close()
 
 
+class advisor:
+    """The advice service: only the workers in `allowed` may run a step."""
+
+    def __init__(self, fleet, address, allowed, decide_ms, period_ms, valid_ms):
+        self.fleet = fleet
+        self.address = address
+        self.allowed = allowed
+        self.decide_ms, self.period_ms, self.valid_ms = decide_ms, period_ms, valid_ms
+        self.tickets = {}  # (step, worker) -> ticket, end of its validity
+        self.turn = asyncio.Lock()
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, *self.address)
+
+    def stop(self):
+        if self.server:
+            self.server.close()
+
+    def check(self, worker, body):
+        step = body["Task"].rsplit(".", 1)[0]
+        ticket, until = self.tickets.get((step, worker.id), (None, 0.0))
+        return ticket is not None and body.get("Ticket") == ticket and time.monotonic() < until
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                _, _, data = await read_message(reader)
+                body = json.loads(data)
+                async with self.turn:
+                    named = body["Workers"][:100]
+                    await asyncio.sleep((self.decide_ms + self.period_ms * len(named)) / 1000)
+                rows = []
+                for name in named:
+                    if name in self.allowed:
+                        ticket = "%016x" % self.fleet.random.getrandbits(64)
+                        self.tickets[(body["Step"], name)] = (
+                            ticket, time.monotonic() + self.valid_ms / 1000)
+                        rows.append([name, ticket])
+                self.fleet.log(f"advice on {body['Step']}: {len(named)} minions named, allowed "
+                               + (", ".join(row[0] for row in rows) or "none"))
+                writer.write(encode_response(200, {"Allowed": rows, "ValidMs": self.valid_ms}))
+                await writer.drain()
+        except FAILURES + (asyncio.CancelledError,):
+            pass
+        finally:
+            writer.close()
+
+
 class fleet:
     """Control nodes and entry nodes as processes, with settings like those of a small deployment."""
 
@@ -620,6 +672,7 @@
         self.ips = {name: f"{self.network}.{11 + i}" for i, name in enumerate(self.cores)}
         self.ips.update({name: f"{self.network}.{31 + i}" for i, name in enumerate(self.edges)})
         self.platform = None  # address of the platform's API
+        self.advice = None    # address of the advice service
         self.platform_of = {}  # that of one node, if it is another one
         self.exits = []
         self.version = 0
@@ -679,9 +732,10 @@
                        "DiskMb": 128 if core else 0},
             "DataDir": os.path.join(self.temporary, name, "data") if core else None,
             "Discovery": "registry", "Entry": "vip", "HeartbeatMs": int(HEARTBEAT_S * 1000),
-            "Contracts": ["base", "drain", "config", "cost", "recover", "sched", "upkeep"],
+            "Contracts": ["base", "drain", "config", "cost", "recover", "sched", "advice", "upkeep"],
             "FaultTolerance": {"Machines": 1, "Zones": 0, "Regions": 0}, "Bounds": BOUNDS,
-            "config_mode": "highest", "Orders": "push", "Advice": None,
+            "config_mode": "highest", "Orders": "push",
+            "Advice": None if self.advice is None else "%s:%d" % self.advice,
             "CloudApi": None if platform is None else
                         {"Address": "%s:%d" % platform, "RatePerS": 64.0, "Duties": [],
                          "DutyPerS": 64.0},
