--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,7 +12,7 @@
 PATH = "/ledger/"
 SLOW_S = 1.0      # cloud_slow: answers take 50 times as long
 ANSWER_S = 0.6    # 50 times 12 ms
-BUSY_S = 1.4      # cloud_down (busy)
+BUSY_S = 2.5      # cloud_down (busy): at most
 WAVE_S = 20
 
 
@@ -67,8 +67,13 @@
         second = make_worker()
         clouds.add("m-2", "pool", second)
         await second.start()
-        await asyncio.sleep(max(0.0, at + SLOW_S + BUSY_S - fleet.log.now()))
         if f.trouble():
+            # Until it has declined one more order; the leader reads the list before it repeats that.
+            clouds.declined.clear()
+            try:
+                await asyncio.wait_for(clouds.declined.wait(), at + SLOW_S + BUSY_S - fleet.log.now())
+            except asyncio.TimeoutError:
+                pass
             clouds.busy = False
             fleet.log("the platform is sound")
         await asyncio.sleep(12.0)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,7 +9,8 @@
 
 PATH = "/engrave/"
 WORK_MS = 14_000
-CUT_BEFORE_NOTICE_S = 1.0   # within the heartbeat interval of 1.5 s
+CUT_AFTER_BEAT_S = 0.3      # after a heartbeat that was acknowledged
+CUT_BEFORE_NOTICE_S = 1.0   # so that the notice comes before the next heartbeat, 1.5 s after the last
 CUT_S = 5.5                 # the site's dose of node_cut (servers)
 UNACKNOWLEDGED_S = 5.0      # "it ends anyway, some seconds later"
 
@@ -53,7 +54,10 @@
         await asyncio.sleep(1.0)
         await first.drain()
         # DrainMs and a little longer.
-        await asyncio.sleep(f.BOUNDS["DrainMs"] / 1000 + 0.2)
+        await asyncio.sleep(f.BOUNDS["DrainMs"] / 1000)
+        first.beaten.clear()
+        await first.beaten.wait()
+        await asyncio.sleep(CUT_AFTER_BEAT_S)
         first.state = "leaving"  # the notice is the next thing that it says
         if f.trouble():
             for one in outbound:
--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -274,6 +274,7 @@
         self.changed = asyncio.Event()
         self.beat_now = asyncio.Event()
         self.acknowledged = None  # state that was acknowledged last
+        self.beaten = asyncio.Event()  # set by each acknowledged heartbeat
         self.tasks = set()
         self.writers = set()
         self.targets = [connection(address) for address in self.control]
@@ -473,6 +474,7 @@
                 if self.acknowledged != state:
                     self.fleet.log(f"worker {self.id}: {state} is acknowledged")
                 self.acknowledged = state
+                self.beaten.set()
             try:
                 await asyncio.wait_for(self.beat_now.wait(), HEARTBEAT_S)
             except asyncio.TimeoutError:
@@ -522,6 +524,7 @@
         self.slow_s = 0.0
         self.busy = False
         self.on_upkeep = None  # called with the machine when its upkeep begins
+        self.declined = asyncio.Event()  # set when an order gets 503
         self.new_worker = None  # called with the machine: the worker of its next life, not started
         self.tasks = set()
         self.server = None
@@ -594,6 +597,8 @@
                 else:
                     status, body = 400, {}
                 if method == "POST":
+                    if status == 503:
+                        self.declined.set()
                     self.fleet.log(f"platform: {target.rsplit('/', 1)[1]} {data.decode()} by "
                                    f"{headers.get('lease-holder')} gets {status}"
                                    + (f" after {slow_s} s" if slow_s else ""))
