A wave waits for VMs that no list has shown yet

Cause: a VM that no list had shown counted as removed once the leader had read lists for 15 s, also before it read the first one after the order. Change: only lists read since this leader first planned the wave can show that a VM of it is gone. The check comes first, so that a VM removed while its upkeep is unanswered is given up as well. Result: fleet_test::wave_includes_vms_that_are_not_listed_yet fails on the code before, passes now.

--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -32,7 +32,7 @@
 // Part of a wave's duration that is planned for; the rest is for VMs that come back late, and for
 // those whose tasks cannot be spared before others are back.
 constexpr double usable_wave_time = 0.7;
-// A VM that is not listed for this long was removed; crashed VMs are back within 10 s.
+// A VM of a wave that is not listed for this long was removed; crashed VMs are back within 10 s.
 constexpr time_ms unlisted_limit{15'000};
 // Shorter if its worker announced its shutdown: the VM was drained for removal.
 constexpr time_ms unlisted_limit_after_leave{4'000};
@@ -76,6 +76,7 @@
     vms_.clear();
     list_under_way_ = false;
     listed_at_ = first_listed_at_ = 0;
+    waves_seen_at_.clear();
     list_due_at_ = now;
     // A restored snapshot did not pass through `applied`.
     for (const auto& [vm, holder] : table_.vm_holders()) {
@@ -370,17 +371,29 @@
     log.emplace_back(mark_upkeep{item.order.number, vm, upkeep_phase::done});
 }
 
+// True if the lists read since a wave was ordered show that a VM of it was removed. Lists of before
+// prove nothing: the order names VMs that have only just joined.
+bool vm_manager::is_removed(const std::string& vm, time_ms wave_seen_at) const {
+    const auto known = vms_.find(vm);
+    const auto last_listed = known == vms_.end() ? time_ms{0} : known->second.listed_at;
+    const auto limit = known != vms_.end() && known->second.worker_left ? unlisted_limit_after_leave
+                                                                        : unlisted_limit;
+    return listed_at_ - std::max({last_listed, first_listed_at_, wave_seen_at}) > limit;
+}
+
 void vm_manager::plan_wave(const wave& item, time_ms now, time_ms wall,
                            std::vector<operation>& log) {
+    const auto seen_at = waves_seen_at_.try_emplace(item.order.number, now).first->second;
     std::uint32_t down = 0;
     std::vector<managed_vm*> due;
     for (const auto& [name, phase] : item.vms) {
-        const auto known = vms_.find(name);
-        if (known == vms_.end()) {
-            if (phase != upkeep_phase::done && listed_at_ - first_listed_at_ > unlisted_limit)
-                abandon_upkeep(item, name, log);
+        if (phase != upkeep_phase::done && is_removed(name, seen_at)) {
+            abandon_upkeep(item, name, log);
             continue;
         }
+        const auto known = vms_.find(name);
+        if (known == vms_.end())
+            continue;
         auto& vm = known->second;
         if (vm.upkeep_wave != 0 || vm.report.state == vm_state::upkeep) {
             ++down;
@@ -393,11 +406,6 @@
         }
         if (phase == upkeep_phase::done)
             continue;
-        const auto limit = vm.worker_left ? unlisted_limit_after_leave : unlisted_limit;
-        if (listed_at_ - vm.listed_at > limit) {
-            abandon_upkeep(item, name, log);
-            continue;
-        }
         // The platform declines orders about VMs that are draining or no longer listed.
         const auto* vm_worker = vm.vm_worker;
         if (vm.listed_at != listed_at_ || (vm_worker && vm_worker->draining))
@@ -456,8 +464,10 @@
     available_tasks_.clear();
     bool counted = false;
     for (const auto& [number, item] : table_.waves()) {
-        if (item.completed())
+        if (item.completed()) {
+            waves_seen_at_.erase(number);
             continue;
+        }
         if (!std::exchange(counted, true))
             available_tasks_ = count_available_tasks(workers);
         plan_wave(item, now, wall, log);
--- a/src/workload/vm_manager.h
+++ b/src/workload/vm_manager.h
@@ -107,6 +107,7 @@
     void find_workers(worker_map& workers);
     void update_idle_times(time_ms now);
     bool is_idle(const managed_vm& item, time_ms now) const;
+    bool is_removed(const std::string& vm, time_ms wave_seen_at) const;
     void update_reservations(worker_map& workers) const;
     void plan_upkeep(worker_map& workers, time_ms now, time_ms wall, std::vector<operation>& log);
     void abandon_upkeep(const wave& item, const std::string& vm, std::vector<operation>& log) const;
@@ -134,7 +135,8 @@
     bool shortage_ = false; // the last plan left a pool without the capacity that it wants
     bool list_under_way_ = false;
     time_ms listed_at_{0};
-    time_ms first_listed_at_{0}; // first list read by this leader
+    time_ms first_listed_at_{0};                     // first list read by this leader
+    std::map<std::uint64_t, time_ms> waves_seen_at_; // by wave, since this leader leads
     time_ms list_due_at_{0};
     time_ms planned_at_{0};
     time_ms pools_logged_at_{0};
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(upkeep_spares_tasks_beside_a_draining_worker);
     CPPUNIT_TEST(wave_waits_while_vms_are_not_listed);
     CPPUNIT_TEST(wave_skips_decommissioned_vm);
+    CPPUNIT_TEST(wave_includes_vms_that_are_not_listed_yet);
     CPPUNIT_TEST(vms_move_to_surging_pool);
     CPPUNIT_TEST(tasks_restart_before_lease_ends_after_vm_power_loss);
     CPPUNIT_TEST(worker_with_unanswered_start_gets_no_runs);
@@ -215,6 +216,37 @@
         assert_no_violations(fleet);
     }
 
+    // A wave named VMs that had just joined, or were away for a moment. A leader that had read
+    // lists for 15 s took them for removed before it read the next one, and the wave ended without
+    // them.
+    void wave_includes_vms_that_are_not_listed_yet() {
+        fleet_options options;
+        options.vm_orders = true;
+        fake_fleet fleet(options);
+        fleet.run_for(20'000);
+        const auto known = fleet.vms().begin()->first;
+        const auto away = fleet.vms().at(known);
+        fleet.vms().erase(known);
+        fleet.run_for(17'000);
+        fleet.order_wave({1, {known, "m900", "m901"}, 20'000, 1});
+        fleet.run_for(1'000);
+        for (const std::string name : {"m900", "m901"}) {
+            auto joined = away;
+            joined.name = name;
+            joined.worker.clear();
+            joined.state = vm_state::down;
+            joined.back_at = fleet.now() + 100;
+            fleet.vms()[name] = joined;
+        }
+        fleet.vms()[known] = away;
+        for (int i = 0; i < 200 && !fleet.table().waves().at(1).completed(); ++i)
+            fleet.run_for(100);
+        CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        for (const auto& name : {known, std::string("m900"), std::string("m901")})
+            CPPUNIT_ASSERT_MESSAGE(name, fleet.vms().at(name).upkept_waves.contains(1));
+        assert_no_violations(fleet);
+    }
+
     static int served_in_surge(bool vm_orders, fake_fleet& fleet) {
         fleet.run_for(8'000); // the VMs move to standby
         for (int i = 0; i < 200; ++i) {
