A declined VM order says nothing about an earlier one without an answer

Cause: any answer made the outcome of the latest order known, also one that declines it, so that the confirmation of the first attempt was taken for the end of the next worker. Change: unknown outcomes are kept by order: upkeeps by wave, moves until one is confirmed. A decline changes nothing about them, and the VM counts as down until a clear answer. An answer about one order settles no other, and a worker first seen after the order was sent is not ended by its success. Result: fleet_test::declined_repeat_of_upkeep_says_nothing_about_the_first and declined_vm_orders_violate_no_invariant fail on the code before, pass now.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -315,13 +315,13 @@
 }
 
 // Handles the success of an order about a VM. If an earlier order may have been carried out before,
-// the worker may have started since then. Its runs then end only by evidence: a later list of the
-// VMs, refused connections or the end of the lease.
+// or if the worker was first seen after this one was sent, it may have started since then. Its runs
+// then end only by evidence: a later list of the VMs, refused connections or the end of the lease.
 void controller::end_life_on_vm(const std::string& vm, order_effect effect, time_ms now) {
     const auto it = workers_.find(vms_.worker_on(vm));
     if (it == workers_.end() || effect == order_effect::none)
         return;
-    if (effect == order_effect::unclear) {
+    if (effect == order_effect::unclear || it->second.seen_since >= vms_.order_sent_at(vm)) {
         it->second.ordered_away_at = now;
         it->second.next_hold_at = now;
         return;
--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -45,6 +45,13 @@
            run.percent >= all;
 }
 
+// True if the answer shows that the same order cannot have been carried out before either. An
+// answer that declines an order for the moment does not: the VM may be busy with the effect of an
+// earlier attempt that has no answer.
+bool excludes_earlier_effect(order_answer answer) {
+    return answer == order_answer::invalid || answer == order_answer::other_wave;
+}
+
 step_key key_of(const task_id& id) {
     return {id.job, id.occurrence, id.step};
 }
@@ -77,6 +84,8 @@
     list_under_way_ = false;
     listed_at_ = first_listed_at_ = 0;
     waves_seen_at_.clear();
+    earlier_waves_.clear();
+    note_earlier_waves();
     list_due_at_ = now;
     // A restored snapshot did not pass through `applied`.
     for (const auto& [vm, holder] : table_.vm_holders()) {
@@ -94,6 +103,17 @@
     // Commands are applied on commit, or much later when the log is replayed.
     const auto passed = std::max<time_ms>(0, wall - announced_at - wall_clock_error);
     announced_by_others_[announced.vm] = now - passed;
+    note_earlier_waves();
+    const auto known = vms_.find(announced.vm);
+    if (known != vms_.end() && known->second.ordered)
+        known->second.ordered_before = known->second.move_unanswered = true;
+}
+
+void vm_manager::note_earlier_waves() {
+    for (const auto& [number, item] : table_.waves()) {
+        if (!item.completed())
+            earlier_waves_.insert(number);
+    }
 }
 
 void vm_manager::observe_leaving(const std::string& worker) {
@@ -101,11 +121,28 @@
         item.worker_left = item.worker_left || item.last_worker == worker;
 }
 
+// Before this leader's first order about a VM, the log tells whether earlier leaders gave any.
+void vm_manager::note_first_order(managed_vm& item) const {
+    if (!std::exchange(item.ordered, true))
+        item.ordered_before = item.move_unanswered = table_.vm_holders().contains(item.report.vm);
+}
+
+bool vm_manager::may_repeat(managed_vm& item, const move_order&) const {
+    note_first_order(item);
+    return item.move_unanswered;
+}
+
+bool vm_manager::may_repeat(managed_vm& item, const upkeep_order& value) const {
+    note_first_order(item);
+    return item.unanswered_waves.contains(value.wave) ||
+           (item.ordered_before && earlier_waves_.contains(value.wave));
+}
+
 // Logs the announcement of an order before the order is sent.
-void vm_manager::announce(managed_vm& item, order value, time_ms now, std::vector<operation>& log) {
+template <class Order>
+void vm_manager::announce(managed_vm& item, Order value, time_ms now, std::vector<operation>& log) {
     item.order_under_way = true;
-    // Orders of earlier leaders, and those without an answer, may have been carried out.
-    item.repeats_order = !item.last_answer_clear && table_.vm_holders().contains(item.report.vm);
+    item.repeats_order = may_repeat(item, value);
     item.ordered_at = now;
     item.announced = std::move(value);
     log.emplace_back(announce_vm_order{item.report.vm, settings_.node});
@@ -116,7 +153,7 @@
     const auto it = vms_.find(announced.vm);
     if (it == vms_.end() || !it->second.announced)
         return;
-    it->second.ordered_at = now;
+    it->second.ordered_at = it->second.sent_at = now;
     orders.push_back(std::move(*it->second.announced));
     it->second.announced.reset();
 }
@@ -131,6 +168,11 @@
     return it == vms_.end() ? std::string() : it->second.last_worker;
 }
 
+time_ms vm_manager::order_sent_at(const std::string& vm) const {
+    const auto it = vms_.find(vm);
+    return it == vms_.end() ? time_ms{0} : it->second.sent_at;
+}
+
 void vm_manager::observe(const std::vector<vm_report>& vms, order_answer answer, time_ms now) {
     list_under_way_ = false;
     if (answer != order_answer::done) {
@@ -170,10 +212,6 @@
 // The platform confirms an order also if it had been carried out before.
 order_effect vm_manager::record_answer(managed_vm& item, order_answer answer, time_ms now) {
     item.order_under_way = false;
-    if (answer == order_answer::no_answer)
-        item.last_answer_clear = false;
-    else if (answer != order_answer::not_sent)
-        item.last_answer_clear = true;
     if (answer != order_answer::done)
         return order_effect::none;
     if (!item.repeats_order)
@@ -198,8 +236,12 @@
         .field("pool", order.pool)
         .field("answer", to_name(answer))
         .field("fence", order.fence);
-    // Without an answer it is repeated until the answer is clear.
-    if (answer == order_answer::done || answer == order_answer::no_answer)
+    if (answer == order_answer::done || answer == order_answer::no_answer) {
+        item.move_unanswered = answer == order_answer::no_answer;
+        return effect;
+    }
+    // While its outcome is unknown it is repeated until the answer is clear.
+    if (item.move_unanswered && !excludes_earlier_effect(answer))
         return effect;
     item.moving_to.reset();
     item.retry_at = now + order_retry;
@@ -219,7 +261,12 @@
         .field("fence", order.fence);
     if (answer == order_answer::done) {
         item.ordered_at = now;
-    } else if (answer != order_answer::no_answer) {
+        item.unanswered_waves.erase(order.wave);
+    } else if (answer == order_answer::no_answer) {
+        item.unanswered_waves.insert(order.wave);
+    } else if (!item.unanswered_waves.contains(order.wave) || excludes_earlier_effect(answer)) {
+        // Otherwise the VM may be down for an earlier attempt, and counts as such.
+        item.unanswered_waves.erase(order.wave);
         item.upkeep_wave = 0;
         item.retry_at = now + order_retry;
     }
@@ -466,6 +513,7 @@
     for (const auto& [number, item] : table_.waves()) {
         if (item.completed()) {
             waves_seen_at_.erase(number);
+            earlier_waves_.erase(number);
             continue;
         }
         if (!std::exchange(counted, true))
--- a/src/workload/vm_manager.h
+++ b/src/workload/vm_manager.h
@@ -42,16 +42,20 @@
 struct managed_vm {
     vm_report report;
     bool order_under_way = false;
-    bool last_answer_clear = false; // this leader knows the outcome of the latest order
-    bool repeats_order = false;     // the order under way may repeat one that was carried out
+    bool repeats_order = false; // the order under way may repeat one that was carried out
     time_ms ordered_at{0};
-    std::optional<order> announced;       // order to be sent once its announcement is committed
-    std::optional<std::string> moving_to; // target pool, until the VM list shows the VM there
-    std::uint64_t upkeep_wave = 0;        // wave of an order whose VM is not back yet; 0 if none
-    std::string last_worker;              // worker listed on the VM last, even if it is gone
-    bool worker_left = false;             // that worker announced its shutdown
-    time_ms retry_at{0};                  // set when the platform declined an order
-    time_ms idle_since{0};                // 0 if not idle
+    time_ms sent_at{0};           // when the latest order was handed over for sending
+    bool ordered = false;         // by this leader
+    bool ordered_before = false;  // by an earlier leader; the outcome of its orders is unknown
+    bool move_unanswered = false; // and none was confirmed since
+    std::set<std::uint64_t> unanswered_waves; // waves with an upkeep that has no answer
+    std::optional<order> announced;           // order to be sent once its announcement is committed
+    std::optional<std::string> moving_to;     // target pool, until the VM list shows the VM there
+    std::uint64_t upkeep_wave = 0; // wave of an order whose VM is not back yet; 0 if none
+    std::string last_worker;       // worker listed on the VM last, even if it is gone
+    bool worker_left = false;      // that worker announced its shutdown
+    time_ms retry_at{0};           // set when the platform declined an order
+    time_ms idle_since{0};         // 0 if not idle
     time_ms listed_at{0};
     worker* vm_worker = nullptr; // worker on the VM; valid while a plan is made
 };
@@ -76,6 +80,8 @@
     std::string worker_on(const std::string& vm) const;
     // Worker on a VM when it was last listed with one; empty if unknown.
     std::string last_worker_on(const std::string& vm) const;
+    // Time at which this leader sent the latest order about a VM; 0 if it sent none.
+    time_ms order_sent_at(const std::string& vm) const;
     // Handles an announcement applied by this replica; it was made at `announced_at` on the
     // leader's wall clock.
     void applied(const announce_vm_order& announced, time_ms announced_at, time_ms now,
@@ -101,7 +107,12 @@
   private:
     using worker_map = std::map<std::string, worker>;
 
-    void announce(managed_vm& item, order value, time_ms now, std::vector<operation>& log);
+    bool may_repeat(managed_vm& item, const move_order& value) const;
+    bool may_repeat(managed_vm& item, const upkeep_order& value) const;
+    void note_first_order(managed_vm& item) const;
+    void note_earlier_waves();
+    template <class Order>
+    void announce(managed_vm& item, Order value, time_ms now, std::vector<operation>& log);
     order_effect record_answer(managed_vm& item, order_answer answer, time_ms now);
     bool held_by_other(const std::string& vm, time_ms now) const;
     void find_workers(worker_map& workers);
@@ -136,6 +147,7 @@
     bool list_under_way_ = false;
     time_ms listed_at_{0};
     time_ms first_listed_at_{0};                     // first list read by this leader
+    std::set<std::uint64_t> earlier_waves_;          // other leaders may have given orders for them
     std::map<std::uint64_t, time_ms> waves_seen_at_; // by wave, since this leader leads
     time_ms list_due_at_{0};
     time_ms planned_at_{0};
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -545,7 +545,7 @@
 
 template <class Order>
 void fake_fleet::answer_vm_order(const Order& value, order_answer answer) {
-    const bool lost = random_.chance(options_.vm_answer_loss);
+    const bool lost = vm_answers_lost || random_.chance(options_.vm_answer_loss);
     schedule(now_ + (lost ? answer_timeout : link_delay),
              [this, value, answer, lost, term = term_] {
                  if (term == term_)
@@ -553,6 +553,11 @@
              });
 }
 
+bool fake_fleet::declines_vm_orders() {
+    return platform_busy ||
+           (options_.vm_decline_share > 0 && random_.chance(options_.vm_decline_share));
+}
+
 void fake_fleet::take_down(fake_vm& item, std::uint64_t wave) {
     if (workers_.contains(item.worker))
         end_worker(item.worker);
@@ -567,6 +572,8 @@
 }
 
 void fake_fleet::call_vm(const move_order& value) {
+    if (declines_vm_orders())
+        return answer_vm_order(value, order_answer::overloaded);
     auto& item = vms_.at(value.vm);
     auto answer = order_answer::busy;
     if (value.fence < vm_fence_)
@@ -590,6 +597,8 @@
 }
 
 void fake_fleet::call_vm(const upkeep_order& value) {
+    if (declines_vm_orders())
+        return answer_vm_order(value, order_answer::overloaded);
     const auto found = vms_.find(value.vm);
     const bool leaving = found == vms_.end() || (workers_.contains(found->second.worker) &&
                                                  workers_.at(found->second.worker).draining);
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -74,9 +74,10 @@
     double late_order_share = 0; // orders unanswered and carried out 2 to 12 s late
     // Share of the answers to other orders than holds that tell the life of the worker.
     double life_in_answers = 0;
-    time_ms vm_order_time{1};  // until the platform carries out an order about a VM
-    double vm_answer_loss = 0; // share of VM orders that are carried out without an answer
-    double commit_loss = 0;    // share of a replaced leader's commands that are not committed
+    time_ms vm_order_time{1};    // until the platform carries out an order about a VM
+    double vm_answer_loss = 0;   // share of VM orders that are carried out without an answer
+    double vm_decline_share = 0; // share of VM orders that the platform has no capacity for
+    double commit_loss = 0;      // share of a replaced leader's commands that are not committed
 };
 
 class fake_fleet {
@@ -126,8 +127,10 @@
     void announce_from_other_node(const std::string& vm, const std::string& node);
     // Carries out an upkeep whose answer no leader gets.
     void take_down_for_upkeep(const std::string& vm, std::uint64_t wave);
-    bool leader_paused = false; // no leader makes decisions
-    bool vm_lists_fail = false; // requests for the VM list go unanswered
+    bool leader_paused = false;   // no leader makes decisions
+    bool vm_lists_fail = false;   // requests for the VM list go unanswered
+    bool vm_answers_lost = false; // VM orders are carried out without an answer
+    bool platform_busy = false;   // all VM orders are declined
 
   private:
     struct event {
@@ -159,6 +162,7 @@
     void call_vm(const upkeep_order& value);
     void advise(const advise_order& value);
     void take_down(fake_vm& item, std::uint64_t wave);
+    bool declines_vm_orders();
     template <class Order>
     void answer_vm_order(const Order& value, order_answer answer);
     bool accept_fence(fake_worker& target, std::uint64_t fence);
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -55,7 +55,9 @@
     CPPUNIT_TEST(tasks_wait_for_lease_after_unannounced_shutdown);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(repeated_upkeep_is_not_taken_for_the_end_of_a_worker);
+    CPPUNIT_TEST(declined_repeat_of_upkeep_says_nothing_about_the_first);
     CPPUNIT_TEST(unanswered_vm_orders_violate_no_invariant);
+    CPPUNIT_TEST(declined_vm_orders_violate_no_invariant);
     CPPUNIT_TEST(advised_steps_run_only_on_allowed_workers);
     CPPUNIT_TEST(random_faults_violate_no_invariant);
     CPPUNIT_TEST(full_pool_is_not_searched_for_each_waiting_step);
@@ -631,6 +633,32 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{8}, running);
     }
 
+    // The platform answered an upkeep late and then declined its repetition, which was taken for an
+    // answer to both. The next success ended the worker that had started on the VM since then: its
+    // task was started a second time, and the worker was not used again.
+    void declined_repeat_of_upkeep_says_nothing_about_the_first() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        const auto vm = fleet.workers().begin()->second.vm;
+        fleet.vm_answers_lost = true;
+        fleet.order_wave({1, {vm}, 20'000, 1});
+        fleet.run_for(600);
+        fleet.vm_answers_lost = false;
+        fleet.platform_busy = true;
+        CPPUNIT_ASSERT_EQUAL(1, fleet.upkeeps());
+        fleet.run_for(2'000);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_long_running_step(4, 9'000, 1))));
+        fleet.run_for(700);
+        fleet.platform_busy = false;
+        fleet.run_for(5'000);
+        assert_no_violations(fleet);
+        CPPUNIT_ASSERT_EQUAL(1, fleet.upkeeps());
+        CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        CPPUNIT_ASSERT(
+            accepts_runs(fleet.control().workers().at(fleet.vms().at(vm).worker), fleet.now()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, count_runs(fleet));
+    }
+
     // An order about a VM that goes unanswered is repeated, and may be carried out by either.
     void unanswered_vm_orders_violate_no_invariant() {
         for (std::uint64_t seed = 1; seed <= 20; ++seed) {
@@ -664,6 +692,41 @@
         }
     }
 
+    // An order that the platform declines after an unanswered one may have been carried out before,
+    // and its VM still be down.
+    void declined_vm_orders_violate_no_invariant() {
+        for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+            fleet_options options;
+            options.seed = seed;
+            options.vm_answer_loss = 0.3;
+            options.vm_decline_share = 0.3;
+            options.commit_loss = 0.3;
+            fake_fleet fleet(options);
+            random_source random(seed * 8'009);
+            fleet.run_for(2'500);
+            fleet.submit("qa", id_of(1'001), one_step(make_long_running_step(4, 1'500, 1)));
+            fleet.submit("qb", id_of(1'002), one_step(make_long_running_step(3, 2'500, 1)));
+            wave_order order{1, {}, 20'000, 2};
+            for (const auto& [name, item] : fleet.vms())
+                order.vms.push_back(name);
+            fleet.order_wave(order);
+            for (int i = 0; i < 60; ++i) {
+                if (fleet.control().leading())
+                    fleet.submit(random.chance(0.5) ? "qa" : "qb", id_of(i),
+                                 two_steps(make_step(1 + random.below(6), 1'000, 500)));
+                fleet.run_for(random.between(50, 600));
+                if (random.chance(0.08) && fleet.control().leading())
+                    fleet.replace_leader(random.between(0, 1'000));
+            }
+            fleet.run_for(20'000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed) + ": " +
+                    (fleet.violations().empty() ? std::string() : fleet.violations().front()),
+                std::size_t{0}, fleet.violations().size());
+            CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        }
+    }
+
     // Only some workers may run a step, and only the advice service knows which.
     void advised_steps_run_only_on_allowed_workers() {
         fleet_options options;
