Only a refused connection shows that a leaving worker has ended

Cause: http_pool reported connections that hang and refused ones as the same failure, and two of them counted as the end of a worker that leaves or whose VM was ordered away. Change: refused connections are a failure and an answer of their own; only these count. Result: fleet_test::hanging_connections_end_no_leaving_worker fails with the former decision put back in this code, passes now. http_pool_test::connection_that_hangs_is_not_refused was not run on the code before, which lacks the failure.

--- a/src/control/http_pool.cpp
+++ b/src/control/http_pool.cpp
@@ -82,9 +82,10 @@
         if (connected_)
             return write();
         socket_.async_connect(pool_->target_, [self = shared_from_this()](beast::error_code error) {
-            if (error)
-                return self->fail(call_failure::not_sent);
-            self->handle_connected();
+            if (!error)
+                return self->handle_connected();
+            self->fail(error == asio::error::connection_refused ? call_failure::refused
+                                                                : call_failure::not_sent);
         });
     }
 
@@ -210,7 +211,8 @@
         result_.failure = pool_->stopped_ ? call_failure::stopped : reason;
         stop();
         // The server has ended, or has closed the others as well.
-        if (reason == call_failure::not_sent || reason == call_failure::connection_lost)
+        if (reason == call_failure::not_sent || reason == call_failure::refused ||
+            reason == call_failure::connection_lost)
             pool_->close_idle(pool_->clock_.now());
         finish();
     }
--- a/src/control/http_pool.h
+++ b/src/control/http_pool.h
@@ -33,7 +33,8 @@
 
 // Why a request got no response.
 enum class call_failure {
-    not_sent,        // no connection, or not permitted: the request was not sent
+    not_sent,        // no connection in time, or not permitted: the request was not sent
+    refused,         // nothing listens at the address: the request was not sent
     timeout,         // may have been executed
     connection_lost, // closed before the response: may have been executed
     stopped
--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -1106,8 +1106,7 @@
     order_result result;
     if (!exchange.failure)
         return protocol_.decode_answer(value, exchange.status, exchange.body);
-    result.answer = *exchange.failure == call_failure::not_sent ? order_answer::not_sent
-                                                                : order_answer::no_answer;
+    result.answer = answer_for(*exchange.failure);
     return result;
 }
 
@@ -1126,9 +1125,7 @@
          vms = std::move(vms)](const http_result& exchange) mutable {
             order_result result;
             if (exchange.failure)
-                result.answer = *exchange.failure == call_failure::not_sent
-                                    ? order_answer::not_sent
-                                    : order_answer::no_answer;
+                result.answer = answer_for(*exchange.failure);
             else
                 result = protocol_.decode_answer(value, exchange.status, exchange.body);
             vms.insert(vms.end(), result.vms.begin(), result.vms.end());
--- a/src/control/worker_exchange.cpp
+++ b/src/control/worker_exchange.cpp
@@ -38,6 +38,20 @@
 
 } // namespace
 
+order_answer answer_for(call_failure failure) {
+    switch (failure) {
+    case call_failure::not_sent:
+        return order_answer::not_sent;
+    case call_failure::refused:
+        return order_answer::refused;
+    case call_failure::timeout:
+    case call_failure::connection_lost:
+    case call_failure::stopped:
+        break;
+    }
+    return order_answer::no_answer;
+}
+
 worker_exchange::worker_exchange(boost::asio::io_context& loop, const clock_source& clock,
                                  const fleet_protocol& protocol, std::string node,
                                  std::size_t max_connections)
@@ -67,10 +81,8 @@
                          result.answer = order_answer::undelivered;
                      else if (!exchange.failure)
                          result = protocol_.decode_answer(value, exchange.status, exchange.body);
-                     else if (*exchange.failure == call_failure::not_sent)
-                         result.answer = order_answer::not_sent;
                      else
-                         result.answer = order_answer::no_answer;
+                         result.answer = answer_for(*exchange.failure);
                      done(result, exchange.sent_at, exchange.received_at);
                  });
 }
--- a/src/control/worker_exchange.h
+++ b/src/control/worker_exchange.h
@@ -14,6 +14,9 @@
 
 namespace clementine::control {
 
+// What a failed HTTP exchange tells about the order in it.
+workload::order_answer answer_for(call_failure failure);
+
 class worker_exchange {
   public:
     // Times are those of the HTTP exchange.
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -112,8 +112,8 @@
             .field("answer", to_name(answer))
             .field("runs", std::uint64_t{from->runs.size()});
     from->hold_unanswered = true;
-    if (answer == order_answer::not_sent)
-        ++from->refused_holds;
+    // An attempt to connect that times out shows nothing: a worker that is cut off works on.
+    from->refused_holds = answer == order_answer::refused ? from->refused_holds + 1 : 0;
     if (answer == order_answer::other_life || ((from->leaving || from->ordered_away_at != 0) &&
                                                from->refused_holds >= refusals_before_end)) {
         if (from->notice_came)
@@ -359,7 +359,7 @@
         advice_.erase({order.task.job, order.task.occurrence, order.task.step, 0});
     if (answer == order_answer::no_answer)
         target->unanswered_start_at = now;
-    if (answer == order_answer::not_sent) {
+    if (answer == order_answer::not_sent || answer == order_answer::refused) {
         target->hold_unanswered = true;
         target->next_hold_at = now;
     }
--- a/src/workload/orders.h
+++ b/src/workload/orders.h
@@ -89,7 +89,7 @@
 
 enum class order_answer {
     done,
-    not_sent,   // no connection to the worker: the order was not carried out
+    not_sent,   // no connection in time: the order was not carried out
     no_answer,  // the order may have been carried out, or may be later
     fenced,     // a newer leader has sent orders
     superseded, // that run or a later one was stopped or has ended
@@ -102,13 +102,14 @@
     other_wave, // the VM is not part of that wave
     overloaded, // too many calls to the platform
     invalid,
-    undelivered // lost inside this system: nothing is known about the worker
+    undelivered, // lost inside this system: nothing is known about the worker
+    refused      // nothing listens at the address: the order was not carried out
 };
 
-inline constexpr name_table<15> order_answer_names{
-    "done", "not-sent",   "no-answer",  "fenced",    "superseded",
-    "late", "no-room",    "no-ticket",  "unhealthy", "other-life",
-    "busy", "other-wave", "overloaded", "invalid",   "undelivered"};
+inline constexpr name_table<16> order_answer_names{
+    "done",       "not-sent",  "no-answer",   "fenced",     "superseded", "late",
+    "no-room",    "no-ticket", "unhealthy",   "other-life", "busy",       "other-wave",
+    "overloaded", "invalid",   "undelivered", "refused"};
 constexpr const auto& names_of(order_answer) {
     return order_answer_names;
 }
--- a/tests/jobs/http_pool_test.cpp
+++ b/tests/jobs/http_pool_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(late_connect_handler_is_taken_for_a_silent_server);
     CPPUNIT_TEST(response_read_in_parts_is_taken_for_a_silent_server);
     CPPUNIT_TEST(response_that_stops_midway_times_out);
+    CPPUNIT_TEST(connection_that_hangs_is_not_refused);
     CPPUNIT_TEST(request_lacks_or_repeats_header);
     CPPUNIT_TEST(pools_exceed_their_common_limit);
     CPPUNIT_TEST(start_goes_before_a_lease);
@@ -173,6 +174,28 @@
         CPPUNIT_ASSERT(clock_.now() - written_at < 1'000);
     }
 
+    // A host that is cut off lets connections hang; one without the process refuses them. Only the
+    // second shows that the process has ended.
+    void connection_that_hangs_is_not_refused() {
+        use_raw_server();
+        acceptor_->listen(0);
+        // Fills the queue of connections to accept, so that further ones hang.
+        std::vector<boost::asio::ip::tcp::socket> queued;
+        for (int i = 0; i < 4; ++i) {
+            queued.emplace_back(loop_).async_connect(acceptor_->local_endpoint(),
+                                                     [](boost::system::error_code) {});
+            loop_.run_for(std::chrono::milliseconds(5));
+        }
+        send(100);
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 1; }));
+        CPPUNIT_ASSERT(results_[0].failure == call_failure::not_sent);
+        queued.clear();
+        acceptor_->close();
+        send(2'000);
+        CPPUNIT_ASSERT(wait_for([&] { return results_.size() == 2; }));
+        CPPUNIT_ASSERT(results_[1].failure == call_failure::refused);
+    }
+
     // A server refuses a request without its length or the target instance, or with two hosts.
     void request_lacks_or_repeats_header() {
         use_raw_server();
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -310,12 +310,15 @@
         if (found == workers_.end() && is_answered_at(value.address))
             answer = order_answer::other_life;
         else if (found == workers_.end() && refusing_addresses_.contains(value.address))
+            answer = order_answer::refused;
+        else if (found != workers_.end() && found->second.unreachable)
             answer = order_answer::not_sent;
         // Nothing can bar an order that reaches a new life before the leader does.
         const bool unbarred =
             late && found != workers_.end() &&
             (found->second.contacted_at == 0 || now_ - found->second.contacted_at < barring_time);
-        if (found != workers_.end() && !found->second.unresponsive && !unbarred) {
+        if (found != workers_.end() && !found->second.unresponsive && !found->second.unreachable &&
+            !unbarred) {
             auto& target = found->second;
             if constexpr (std::is_same_v<Order, hold_order>) {
                 if (target.contacted_at == 0)
@@ -343,7 +346,7 @@
         }
         if (late)
             return;
-        const bool answered = answer != order_answer::no_answer;
+        const bool answered = answer != order_answer::no_answer && answer != order_answer::not_sent;
         schedule(answered ? now_ + link_delay : std::max(now_, sent + answer_timeout),
                  [=, this] { report_answer(value, answer, lists, next_life, sent, term); });
     });
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -34,6 +34,7 @@
     std::string rack;
     resources capacity{16'000, 32'000, 0};
     bool unresponsive = false; // answers nothing, but its runs continue
+    bool unreachable = false;  // connections to it hang, and its runs continue
     bool draining = false;
     bool fails_all = false;
     bool stalls_all = false;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(worker_at_a_former_address_of_another_ends_the_process);
     CPPUNIT_TEST(late_notice_of_leaving_stops_the_next_life);
     CPPUNIT_TEST(tasks_wait_for_lease_after_unannounced_shutdown);
+    CPPUNIT_TEST(hanging_connections_end_no_leaving_worker);
     CPPUNIT_TEST(new_leader_neither_loses_nor_duplicates_work);
     CPPUNIT_TEST(repeated_upkeep_is_not_taken_for_the_end_of_a_worker);
     CPPUNIT_TEST(declined_repeat_of_upkeep_says_nothing_about_the_first);
@@ -575,6 +576,26 @@
         assert_no_violations(fleet);
     }
 
+    // Connections to a worker that shut down hung because it was cut off one way. Two of them were
+    // taken for the end of the worker, and its task was started elsewhere before its lease ended.
+    void hanging_connections_end_no_leaving_worker() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(3'000);
+        CPPUNIT_ASSERT(fleet.submit("qa", id_of(1), one_step(make_step(1, 1'000, 9'000))));
+        fleet.run_for(1'000);
+        const auto worker = busiest_worker(fleet);
+        fleet.workers().at(worker).draining = true;
+        fleet.announce_now(worker);
+        fleet.run_for(1'000);
+        fleet.workers().at(worker).unreachable = true;
+        fleet.control().observe_leaving(worker, fleet.now());
+        fleet.run_for(20'000);
+        assert_no_violations(fleet);
+        CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(1))->state);
+    }
+
     void new_leader_neither_loses_nor_duplicates_work() {
         fleet_options options;
         options.commit_loss = 0.5;
