Leases that a worker's next life took from orders for the former one

Cause: an order names only the id, so a start or hold for the former life is carried out by the next one. Its clock starts at zero, the end of the lease in the order lies far ahead, and the life takes the longest lease there is, 10 s. The leader reckoned with 6 s, and a new leader always did. Change: a life that follows another one is given the time in which an order may arrive and the longest lease after it; a new leader reckons with the longest lease, and with more for a young life; runs that the next life of a silent worker may have begun wait for the longest lease since the last order. Runs that a list has shown end with the lease as before. A list of VMs that was asked for before a start was confirmed no longer ends that run. The fake fleet shortens the lease in a start to the longest one, as it did for holds and as the platform's page says; without it a run on a worker that is cut off would never end. Result: three tests in fleet_test fail on the code before and pass now: next_life_keeps_the_lease_of_an_order_for_the_former_one, next_leader_allows_for_leases_of_orders_for_former_lives, unlisted_run_may_outlast_the_lease_of_the_known_life.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -22,13 +22,11 @@
 constexpr time_ms vm_plan_interval{100};
 // An announcement of an ended life may arrive this late.
 constexpr time_ms ended_life_retention{60'000};
-// Longest remaining time of a lease granted by an earlier leader: the worker's clock may run 2%
-// slow, and the leader may have estimated it up to 2% of a 2 s pause ahead.
-constexpr time_ms max_inherited_lease{
-    static_cast<time_ms>(static_cast<double>(worker_lease) / min_clock_rate) + 100};
-// Longest lease that a worker grants, whatever the order says: the end in an order for a former
-// life is far ahead on the clock of the next one.
-constexpr time_ms max_worker_lease{10'000};
+// A life is announced to the leader within this time after its start, so that no more orders are
+// sent to the former one.
+constexpr time_ms announcement_delay{2'500};
+// Wall clocks may differ by this much while one of them has jumped.
+constexpr time_ms wall_clock_error{2'600};
 
 std::string label_at(const std::vector<std::string>& labels, std::size_t index) {
     return index < labels.size() ? labels[index] : std::string();
@@ -43,7 +41,9 @@
     stop_leading();
     fence_ = fence;
     leading_since_ = now;
-    inherit_runs(now);
+    wall_offset_ = wall - now;
+    follows_a_leader_ = !table_.open_jobs().empty();
+    inherit_runs(now, wall);
     inherit_load(now, wall);
     for (const auto& [id, item] : table_.open_jobs())
         changed_jobs_.insert(id);
@@ -65,10 +65,15 @@
     pending_decisions_ = {};
 }
 
-// Takes over all assigned runs in the job table, with the longest lease that an earlier leader may
-// have granted.
-void controller::inherit_runs(time_ms now) {
-    const auto lease_end = now + max_inherited_lease;
+// Longest time for which a life may still hold a lease that it took from an order for a former one.
+time_ms controller::foreign_lease_left(const worker_ref& life, time_ms wall) const {
+    const auto age = wall - life.started_at - wall_clock_error;
+    return std::clamp<time_ms>(announcement_delay + max_foreign_lease - age, 0, max_foreign_lease);
+}
+
+// Takes over all assigned runs in the job table, with the longest lease that the orders of an
+// earlier leader may have granted. The log does not tell which life of a worker has begun a run.
+void controller::inherit_runs(time_ms now, time_ms wall) {
     for (const auto& [id, open] : table_.open_jobs()) {
         const auto& item = *open;
         for (std::uint32_t k = 0; k < item.occurrences.size(); ++k) {
@@ -86,7 +91,8 @@
                         set_address(target, tasks[i].address);
                     }
                     target.seen_since = now;
-                    target.inherited_lease_end = lease_end;
+                    target.inherited_lease_end =
+                        now + std::max(max_granted_lease, foreign_lease_left(target.ref, wall));
                     live_run run;
                     run.task = {id, k, s, i};
                     run.run = tasks[i].run;
@@ -175,13 +181,12 @@
     next.ref = {ended.ref.id, started_at};
     next.address = address;
     next.seen_since = now;
-    if (!kept.empty()) {
-        next.inherited_lease_end = now + max_order_delay + max_worker_lease;
+    next.inherited_lease_end = now + max_foreign_lease;
+    if (!kept.empty())
         log_event(log_level::info, "runs_kept_for_next_life")
             .field("worker", next.ref.id)
             .field("born", next.ref.started_at)
             .field("runs", std::uint64_t{kept.size()});
-    }
     for (auto& run : kept) {
         run.stage = run_stage::ordered;
         run.confirmed_at = 0;
@@ -218,8 +223,12 @@
         return false;
     if (!added && item.ref.started_at < report.worker.started_at)
         replace_life(item, report.worker.started_at, report.address, now);
-    if (added)
+    if (added) {
         item.seen_since = now;
+        // An earlier leader may have sent orders to a former life.
+        if (follows_a_leader_ && now - leading_since_ < announcement_delay)
+            item.inherited_lease_end = now + foreign_lease_left(report.worker, now + wall_offset_);
+    }
     if (item.reported && report.sequence <= item.sequence)
         return true; // out of order
     if (!item.reported)
@@ -379,7 +388,8 @@
     std::vector<run_key> ended_runs;
     for (const auto& [key, run] : gone.runs) {
         // An unanswered order may still reach a new life under the same id.
-        if (run.confirmed_at != 0 || run.stage == run_stage::listed)
+        if ((run.confirmed_at != 0 && run.confirmed_at < asked_at) ||
+            run.stage == run_stage::listed)
             ended_runs.push_back(key);
     }
     for (const auto& key : ended_runs)
@@ -442,14 +452,34 @@
     }
 }
 
-// Ends lives whose leases have expired, since none of their runs can be running.
+// Marks the runs of a silent worker as lost that cannot be running any more. Those that its next
+// life may have begun run on for longer, because that life may have taken a longer lease.
+void controller::mark_expired_runs_lost(worker& silent, time_ms now) {
+    const bool next_life_expired = silent.next_life_lease_expired(now);
+    std::vector<run_key> expired;
+    for (const auto& [key, run] : silent.runs) {
+        if (next_life_expired || !run.may_begin_in_next_life())
+            expired.push_back(key);
+    }
+    if (expired.empty())
+        return;
+    log_event(log_level::info, "lease_expired")
+        .field("worker", silent.ref.id)
+        .field("born", silent.ref.started_at)
+        .field("runs", std::uint64_t{expired.size()})
+        .field("runs_left", std::uint64_t{silent.runs.size() - expired.size()});
+    for (const auto& key : expired)
+        mark_lost(silent, key);
+}
+
+// Ends runs on silent workers whose leases have expired.
 void controller::end_expired_lives(time_ms now) {
     std::vector<std::string> silent_workers;
     for (auto& [id, item] : workers_) {
         const bool silent = item.hold_unanswered || !item.contacted;
         if (silent && !item.runs.empty() && item.lease_expired(now) &&
             (item.hold_unanswered || now >= item.inherited_lease_end))
-            mark_runs_lost(item, "lease expired");
+            mark_expired_runs_lost(item, now);
         if (silent && item.runs.empty() && now - item.reported_at > silent_worker_limit &&
             now - leading_since_ > silent_worker_limit)
             silent_workers.push_back(id);
@@ -477,6 +507,7 @@
         if (item.contacted && !item.hold_unanswered && item.ordered_away_at == 0) {
             order.lease_until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.lease_until);
+            item.open_lease_at = now;
             order.wait = item.long_running_runs > 0 ? serving_hold_wait : hold_wait;
             if (unresolved) {
                 order.wait = 0;
@@ -491,6 +522,7 @@
 decisions controller::decide(time_ms now, time_ms wall) {
     if (!leading())
         return {};
+    wall_offset_ = wall - now;
     const bool many = workers_.size() >= large_fleet_workers;
     if (now - reviewed_at_ >= (many ? review_interval_large_fleet : review_interval)) {
         reviewed_at_ = now;
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -163,7 +163,9 @@
                               std::vector<worker*>& allowed, time_ms now);
     void ask_advice(const ready_step& item, const std::vector<worker*>& pool, advice& known);
     std::string ticket_for(const task_id& task, const worker_ref& target) const;
-    void inherit_runs(time_ms now);
+    void inherit_runs(time_ms now, time_ms wall);
+    time_ms foreign_lease_left(const worker_ref& life, time_ms wall) const;
+    void mark_expired_runs_lost(worker& silent, time_ms now);
     void inherit_load(time_ms now, time_ms wall);
     void mark_runs_lost(worker& gone, const char* reason);
     void replace_life(worker& ended, std::int64_t started_at, const std::string& address,
@@ -220,6 +222,8 @@
     controller_settings settings_;
     std::uint64_t fence_ = 0;
     time_ms leading_since_{0};
+    time_ms wall_offset_{0};                // of the wall clock from the local one
+    bool follows_a_leader_ = false;         // jobs were in the table when this node began to lead
     std::map<std::string, worker> workers_; // by id; the newest life of each
     std::unordered_multimap<std::string, std::string> ids_by_address_;
     std::map<std::string, std::int64_t> blocked_cpu_; // by pool; see pool_demand::blocked
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -105,6 +105,8 @@
         return;
     }
     from->next_hold_at = received_at + hold_retry;
+    if (answer == order_answer::no_answer && order.lease_until)
+        from->open_lease_at = received_at;
     counters_.silent_workers += from->hold_unanswered ? 0 : 1;
     if (!from->hold_unanswered)
         log_event(log_level::warning, "worker_silent")
@@ -330,6 +332,10 @@
     run->order_under_way = false;
     if (is_settled(answer) && run->open_starts > 0)
         --run->open_starts;
+    // The answer does not tell the life, and a start that is refused may extend the lease as well.
+    if (answer != order_answer::undelivered && answer != order_answer::not_sent &&
+        answer != order_answer::refused)
+        target->open_lease_at = now;
     if (answer == order_answer::undelivered) {
         --run->start_attempts; // the review sends it again
         return;
@@ -468,6 +474,7 @@
     }
     const auto until = target.lease_to_grant(now);
     target.lease_until = std::max(target.lease_until, until);
+    target.open_lease_at = now;
     run.order_under_way = true;
     ++run.start_attempts;
     ++run.open_starts;
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -18,6 +18,12 @@
 inline constexpr time_ms max_order_delay{12'000};
 // Lowest rate of a worker's clock relative to the local one.
 inline constexpr double min_clock_rate = 0.98;
+// Longest time for which a worker's lease lasts once it carries an order out, whatever end the
+// order names, on the local clock. A life that carries out an order for a former one takes this
+// much: the clock of a life starts anew, so that the end in the order is far ahead.
+inline constexpr time_ms max_granted_lease{static_cast<time_ms>(10'000 / min_clock_rate) + 100};
+// Longest time for which a life may hold such a lease, from the end of the former one on.
+inline constexpr time_ms max_foreign_lease = max_order_delay + max_granted_lease;
 
 // From this many workers on, answers and decisions are batched for some ms, because each costs
 // more.
@@ -115,7 +121,11 @@
     time_ms clock{0};               // worker's clock at the last answer or announcement
     time_ms clock_seen_at{0};       // local clock at that time
     time_ms lease_until{0};         // end of the latest lease, on the worker's clock
-    time_ms inherited_lease_end{0}; // end of leases of earlier leaders, on the local clock
+    time_ms inherited_lease_end{0}; // end of leases from earlier leaders, and of those that orders
+                                    // for a former life may have granted; on the local clock
+    // When an order with a lease was last issued, or ended without telling whether this life or
+    // the next one carried it out.
+    time_ms open_lease_at{0};
 
     bool hold_under_way = false;
     bool hold_unanswered = false; // the last hold failed: leases must not be extended blindly
@@ -138,8 +148,10 @@
     worker_health health;
 
     resources free() const { return capacity - used; }
-    // True once no run of this life can be running.
+    // True once no run that this life has begun can be running.
     bool lease_expired(time_ms now) const;
+    // True once a next life under the same id can be running nothing that it has begun so far.
+    bool next_life_lease_expired(time_ms now) const;
     // End of a lease granted now, on the worker's clock.
     time_ms lease_to_grant(time_ms now) const;
     live_run* find(const task_id& task, std::uint32_t run);
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -148,7 +148,8 @@
         advance_runs(item);
         // Announces at the start and then at the interval.
         const auto age = now_ - item.started_at;
-        if (!item.unresponsive && (age < 2 * step_time || age % announce_interval < step_time))
+        if (!item.unresponsive && !item.answers_starts_only &&
+            (age < 2 * step_time || age % announce_interval < step_time))
             announce(item);
     }
     std::set<task_id> available_tasks;
@@ -338,7 +339,9 @@
             } else {
                 answer = execute(target, value);
             }
-            if (target.ref != value.worker &&
+            if (target.answers_starts_only && !std::is_same_v<Order, start_order>)
+                answer = order_answer::no_answer;
+            if (target.ref != value.worker && answer != order_answer::no_answer &&
                 (std::is_same_v<Order, hold_order> || random_.chance(options_.life_in_answers))) {
                 next_life = target.ref.started_at;
                 answer = order_answer::other_life;
@@ -463,7 +466,8 @@
         value.ticket != value.task.job + target.ref.id)
         return order_answer::no_ticket;
     check_start(target, value);
-    target.lease_until = std::max(target.lease_until, value.lease_until);
+    target.lease_until =
+        std::max(target.lease_until, std::min(value.lease_until, target.clock(now_) + max_lease));
     const auto& spec = spec_of(value.task);
     fake_run run;
     run.task = value.task;
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -33,8 +33,9 @@
     std::string address;
     std::string rack;
     resources capacity{16'000, 32'000, 0};
-    bool unresponsive = false; // answers nothing, but its runs continue
-    bool unreachable = false;  // connections to it hang, and its runs continue
+    bool unresponsive = false;        // answers nothing, but its runs continue
+    bool unreachable = false;         // connections to it hang, and its runs continue
+    bool answers_starts_only = false; // its announcements and answers to other orders are lost
     bool draining = false;
     bool fails_all = false;
     bool stalls_all = false;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -48,6 +48,9 @@
     CPPUNIT_TEST(start_for_former_life_runs_beside_its_repeat);
     CPPUNIT_TEST(order_for_former_life_is_sent);
     CPPUNIT_TEST(next_life_is_stopped_at_its_former_address);
+    CPPUNIT_TEST(next_life_keeps_the_lease_of_an_order_for_the_former_one);
+    CPPUNIT_TEST(next_leader_allows_for_leases_of_orders_for_former_lives);
+    CPPUNIT_TEST(unlisted_run_may_outlast_the_lease_of_the_known_life);
     CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
     CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
     CPPUNIT_TEST(worker_at_a_former_address_of_another_ends_the_process);
@@ -452,6 +455,80 @@
         assert_no_violations(fleet);
     }
 
+    // Restarts two of four workers under their ids, has tasks of 9.5 s started on all of them and
+    // cuts the two off.
+    static void restart_and_cut_off(fake_fleet& fleet, time_ms restart_at, time_ms cut_after) {
+        fleet.run_for(restart_at);
+        std::vector<std::string> restarted;
+        for (const auto& [id, item] : fleet.workers()) {
+            if (item.pool == "a" && restarted.size() < 2)
+                restarted.push_back(id);
+        }
+        for (const auto& id : restarted)
+            fleet.restart(id);
+        fleet.run_for(100);
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(fleet.submit("qa", id_of(i), one_step(make_step(4, 2'000, 9'500))));
+        fleet.run_for(cut_after);
+        for (const auto& id : restarted) {
+            CPPUNIT_ASSERT(!fleet.workers().at(id).runs.empty());
+            fleet.set_unresponsive(id, true);
+        }
+    }
+
+    // A worker started again under its id, and its new life carried out a hold for the former one.
+    // The end of the lease in it lay far ahead on the clock of the new life, which took the longest
+    // lease that there is. It was cut off, and its tasks were started elsewhere 4 s too early.
+    void next_life_keeps_the_lease_of_an_order_for_the_former_one() {
+        for (time_ms delay = 0; delay < 1'500; delay += 105) {
+            fleet_options options;
+            options.vm_orders = false;
+            fake_fleet fleet(options);
+            restart_and_cut_off(fleet, 6'000 + delay, 200 + delay);
+            fleet.run_for(40'000);
+            assert_no_violations(fleet);
+            for (int i = 0; i < 4; ++i)
+                CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
+        }
+    }
+
+    // As above, with a new leader, which knows the worker from the log only.
+    void next_leader_allows_for_leases_of_orders_for_former_lives() {
+        for (time_ms delay = 0; delay < 1'500; delay += 105) {
+            fleet_options options;
+            options.vm_orders = false;
+            fake_fleet fleet(options);
+            restart_and_cut_off(fleet, 6'000 + delay, 200 + delay);
+            fleet.replace_leader(0);
+            fleet.run_for(45'000);
+            assert_no_violations(fleet);
+            for (int i = 0; i < 4; ++i)
+                CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
+        }
+    }
+
+    // The next life of a worker carried out a start for the former one, and was cut off before the
+    // leader learnt of it. Its tasks were started elsewhere when the lease of the former life
+    // ended.
+    void unlisted_run_may_outlast_the_lease_of_the_known_life() {
+        fleet_options options;
+        options.vm_orders = false;
+        fake_fleet fleet(options);
+        fleet.run_for(6'000);
+        const auto worker = fleet.workers().begin()->first;
+        fleet.restart(worker);
+        fleet.workers().at(worker).answers_starts_only = true;
+        for (int i = 0; i < 2; ++i)
+            CPPUNIT_ASSERT(fleet.submit("qa", id_of(i), one_step(make_step(4, 2'000, 9'500))));
+        fleet.run_for(100);
+        CPPUNIT_ASSERT(!fleet.workers().at(worker).runs.empty());
+        fleet.set_unresponsive(worker, true);
+        fleet.run_for(30'000);
+        assert_no_violations(fleet);
+        for (int i = 0; i < 2; ++i)
+            CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
+    }
+
     // An announcement with the address of a sound worker, but of a pool that does not exist or
     // under an id that nobody has, had the worker's tasks started elsewhere while they ran on.
     void announcement_of_another_writer_ends_a_worker() {
