The next life of a dropped worker inherits its unanswered starts

Cause: unanswered starts and leases were kept with the worker's entry and went with it when the list of VMs, a refused connection or an order about the VM ended it. Result: fleet_test::late_start_of_a_dropped_worker_runs_in_its_next_life fails on the code before, passes now.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -54,6 +54,7 @@
     fence_ = 0;
     workers_.clear();
     ids_by_address_.clear();
+    dropped_lives_.clear();
     starting_.clear();
     views_.clear();
     changed_jobs_.clear();
@@ -133,10 +134,25 @@
     const auto it = workers_.find(id);
     if (it == workers_.end())
         return;
-    set_address(it->second, {});
+    auto& gone = it->second;
+    if (gone.open_lease_at != 0)
+        dropped_lives_.insert_or_assign(
+            id, dropped_life{gone.ref, std::move(gone.loose_starts), gone.open_lease_at});
+    set_address(gone, {});
     workers_.erase(it);
 }
 
+// Sets what is known of the last life under an id if it was dropped a short time ago: the next one
+// may still carry out its orders.
+void controller::restore_dropped_life(worker& added, const std::string& id) const {
+    const auto former = dropped_lives_.find(id);
+    if (former == dropped_lives_.end())
+        return;
+    added.ref = former->second.ref;
+    added.loose_starts = former->second.loose_starts;
+    added.open_lease_at = former->second.open_lease_at;
+}
+
 // The only place that changes the address of a known worker, so that the index follows.
 void controller::set_address(worker& target, const std::string& address) {
     if (target.address == address)
@@ -219,15 +235,23 @@
     }
     auto [it, added] = workers_.try_emplace(report.worker.id);
     auto& item = it->second;
-    if (!added && item.ref.started_at > report.worker.started_at)
+    if (added)
+        restore_dropped_life(item, report.worker.id);
+    if (item.ref.started_at > report.worker.started_at) {
+        if (added)
+            workers_.erase(it);
         return false;
-    if (!added && item.ref.started_at < report.worker.started_at)
+    }
+    dropped_lives_.erase(report.worker.id);
+    if (!item.ref.id.empty() && item.ref.started_at < report.worker.started_at)
         replace_life(item, report.worker.started_at, report.address, now);
     if (added) {
         item.seen_since = now;
         // An earlier leader may have sent orders to a former life.
         if (follows_a_leader_ && now - leading_since_ < announcement_delay)
-            item.inherited_lease_end = now + foreign_lease_left(report.worker, now + wall_offset_);
+            item.inherited_lease_end =
+                std::max(item.inherited_lease_end,
+                         now + foreign_lease_left(report.worker, now + wall_offset_));
     }
     if (item.reported && report.sequence <= item.sequence)
         return true; // out of order
@@ -488,6 +512,9 @@
         drop_worker(id);
     std::erase_if(ended_lives_,
                   [&](const auto& item) { return now - item.second > ended_life_retention; });
+    std::erase_if(dropped_lives_, [&](const auto& item) {
+        return now - item.second.open_lease_at > max_foreign_lease;
+    });
 }
 
 void controller::issue_holds(time_ms now) {
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -173,6 +173,7 @@
     void settle_start_for_former_life(const start_order& order, order_answer answer);
     void end_expired_lives(time_ms now);
     void drop_worker(const std::string& id);
+    void restore_dropped_life(worker& added, const std::string& id) const;
     bool is_in_known_pool(const worker_report& report) const;
     void set_address(worker& target, const std::string& address);
     void end_former_holders(const worker& holder, time_ms sent_at);
@@ -245,6 +246,13 @@
     double start_latency_ = 0; // moving average in ms, from the decision to the worker's answer
     std::map<std::string, pool_load> loads_;
     time_ms loads_measured_at_{0};
+    // What the next lives of workers that were dropped may still carry out, by id.
+    struct dropped_life {
+        worker_ref ref;
+        std::vector<loose_start> loose_starts;
+        time_ms open_lease_at{0};
+    };
+    std::map<std::string, dropped_life> dropped_lives_;
     // Lives that ended because their VM was moved or taken down, with the time of their end.
     std::map<worker_ref, time_ms> ended_lives_;
     offered_load offered_load_;
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace clementine::workload {
@@ -102,6 +103,9 @@
     // Ends the worker's process and starts it again under its id and address. The new life knows
     // nothing of before.
     void restart(const std::string& worker);
+    // Ends the worker's process and starts it again as above after `span`. Until then the platform
+    // lists its VM as down, and calls to its address are refused.
+    void restart_after(const std::string& worker, time_ms span);
     // Ends the worker's process; calls to its address are refused.
     void shut_down(const std::string& worker);
     // Ends the worker's process; its VM starts one under a new id at the same address.
@@ -158,6 +162,8 @@
     order_answer execute(fake_worker& target, const start_order& value);
     order_answer execute(fake_worker& target, const stop_order& value);
     order_answer execute(fake_worker& target, const pace_order& value);
+    template <class Order>
+    bool is_unbarred(const Order& value, bool late, const fake_worker& target);
     worker_lists lists_of(const fake_worker& target) const;
     bool is_answered_at(const std::string& address) const;
     void call_vm(const move_order& value);
@@ -185,6 +191,7 @@
     std::map<std::string, fake_worker> workers_;
     std::map<std::string, fake_vm> vms_;
     std::set<std::string> refusing_addresses_;
+    std::set<std::tuple<worker_ref, task_id, std::uint32_t>> delayed_stops_; // and no other arrived
     std::multimap<time_ms, std::function<void()>> events_;
     std::vector<std::string> violations_;
     std::map<task_id, std::set<std::uint32_t>> done_runs_;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(no_vm_orders_until_pause_after_other_holder_ends);
     CPPUNIT_TEST(late_orders_never_duplicate_tasks);
     CPPUNIT_TEST(start_for_former_life_runs_beside_its_repeat);
+    CPPUNIT_TEST(late_start_of_a_dropped_worker_runs_in_its_next_life);
     CPPUNIT_TEST(order_for_former_life_is_sent);
     CPPUNIT_TEST(next_life_is_stopped_at_its_former_address);
     CPPUNIT_TEST(next_life_keeps_the_lease_of_an_order_for_the_former_one);
@@ -386,6 +387,47 @@
         }
     }
 
+    // A worker crashed, its VM was listed as down, and its address refused calls, so that the
+    // leader dropped it with its unanswered starts. Its next life carried one out beside the repeat
+    // elsewhere.
+    void late_start_of_a_dropped_worker_runs_in_its_next_life() {
+        int dropped = 0;
+        for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+            fleet_options options;
+            options.seed = seed;
+            options.late_order_share = 0.15;
+            fake_fleet fleet(options);
+            random_source random(seed * 2'311);
+            fleet.run_for(3'000);
+            int accepted = 0;
+            for (int i = 0; i < 30; ++i) {
+                accepted +=
+                    fleet.submit("qa", id_of(i), one_step(make_step(3, 1'500, 900))) ? 1 : 0;
+                fleet.run_for(random.between(50, 250));
+                if (!random.chance(0.15))
+                    continue;
+                auto it = fleet.workers().begin();
+                std::advance(it, random.below(fleet.workers().size()));
+                const auto worker = it->first;
+                fleet.restart_after(worker, random.between(1'500, 4'000));
+                fleet.run_for(1'400);
+                dropped += fleet.control().workers().contains(worker) ? 0 : 1;
+            }
+            fleet.run_for(40'000);
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(
+                "seed " + std::to_string(seed) + ": " +
+                    (fleet.violations().empty() ? std::string() : fleet.violations().front()),
+                std::size_t{0}, fleet.violations().size());
+            int done = 0;
+            for (int i = 0; i < 30; ++i) {
+                const auto* item = fleet.table().find_job(id_of(i));
+                done += item && item->state == job_state::completed ? 1 : 0;
+            }
+            CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), accepted, done);
+        }
+        CPPUNIT_ASSERT(dropped > 0);
+    }
+
     // Starts waited for a connection to a worker that was cut off, and were sent to its next life.
     void order_for_former_life_is_sent() {
         fake_fleet fleet({});
