A VM removed during its upkeep no longer counts as down in its wave

A VM whose upkeep has no answer and that is removed counted as down for the rest of its wave, and with a cap of one the others waited for ever. A move that was declined after an unanswered one kept its pool waiting for the VM, also when the VM was removed. Cause: what is unknown about an order was kept without an end. A declined move is given up again as before; only the knowledge that an earlier one may have been carried out stays.

--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -236,13 +236,11 @@
         .field("pool", order.pool)
         .field("answer", to_name(answer))
         .field("fence", order.fence);
+    // Without an answer it is repeated until the answer is clear.
     if (answer == order_answer::done || answer == order_answer::no_answer) {
         item.move_unanswered = answer == order_answer::no_answer;
         return effect;
     }
-    // While its outcome is unknown it is repeated until the answer is clear.
-    if (item.move_unanswered && !excludes_earlier_effect(answer))
-        return effect;
     item.moving_to.reset();
     item.retry_at = now + order_retry;
     if (answer == order_answer::invalid)
@@ -434,11 +432,14 @@
     std::uint32_t down = 0;
     std::vector<managed_vm*> due;
     for (const auto& [name, phase] : item.vms) {
-        if (phase != upkeep_phase::done && is_removed(name, seen_at)) {
-            abandon_upkeep(item, name, log);
+        const auto known = vms_.find(name);
+        if (is_removed(name, seen_at)) {
+            if (phase != upkeep_phase::done)
+                abandon_upkeep(item, name, log);
+            if (known != vms_.end())
+                known->second.upkeep_wave = 0; // no longer one of those that are down
             continue;
         }
-        const auto known = vms_.find(name);
         if (known == vms_.end())
             continue;
         auto& vm = known->second;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -40,6 +40,7 @@
     CPPUNIT_TEST(wave_waits_while_vms_are_not_listed);
     CPPUNIT_TEST(wave_skips_decommissioned_vm);
     CPPUNIT_TEST(wave_includes_vms_that_are_not_listed_yet);
+    CPPUNIT_TEST(vm_removed_during_its_upkeep_blocks_no_other);
     CPPUNIT_TEST(vms_move_to_surging_pool);
     CPPUNIT_TEST(tasks_restart_before_lease_ends_after_vm_power_loss);
     CPPUNIT_TEST(worker_with_unanswered_start_gets_no_runs);
@@ -254,6 +255,30 @@
         assert_no_violations(fleet);
     }
 
+    // A VM was removed after an upkeep without an answer. It counted as down for the rest of the
+    // wave, which allowed one at a time, so that the last VM never had its turn.
+    void vm_removed_during_its_upkeep_blocks_no_other() {
+        fake_fleet fleet({});
+        fleet.run_for(2'500);
+        wave_order order{1, {}, 20'000, 1};
+        for (const auto& [name, item] : fleet.vms()) {
+            if (order.vms.size() < 3)
+                order.vms.push_back(name);
+        }
+        fleet.vm_answers_lost = true;
+        fleet.order_wave(order);
+        while (fleet.upkeeps() == 0)
+            fleet.run_for(10);
+        std::erase_if(fleet.vms(),
+                      [](const auto& item) { return item.second.upkept_waves.contains(1); });
+        fleet.run_for(600);
+        fleet.vm_answers_lost = false;
+        fleet.run_for(30'000);
+        CPPUNIT_ASSERT(fleet.table().waves().at(1).completed());
+        CPPUNIT_ASSERT_EQUAL(3, fleet.upkeeps());
+        assert_no_violations(fleet);
+    }
+
     static int served_in_surge(bool vm_orders, fake_fleet& fleet) {
         fleet.run_for(8'000); // the VMs move to standby
         for (int i = 0; i < 200; ++i) {
