The longest lease of a worker comes from the deployment's settings

What callers saw: nothing yet; found by reading. The time for which runs on silent workers are kept assumed leases of at most 10 s. Cause: a constant in the place of HoldMaxMs. Change: the setting is read by the adapter and passed to the controller; 10 s if it is missing. Result: fleet_test::longest_lease_depends_on_the_deployment (20 s) fails with the constant put back, passes now.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -66,10 +66,24 @@
     pending_decisions_ = {};
 }
 
+// Longest time for which a worker's lease lasts once the worker carries an order out, on the local
+// clock. A life that carries out an order for a former one takes this much: the clock of a life
+// starts anew, so that the end in the order is far ahead.
+time_ms controller::granted_lease() const {
+    constexpr time_ms delivery{100};
+    return static_cast<time_ms>(static_cast<double>(settings_.max_lease) / min_clock_rate) +
+           delivery;
+}
+
+// Longest time for which a life may hold such a lease, from the end of the former one on.
+time_ms controller::foreign_lease() const {
+    return max_order_delay + granted_lease();
+}
+
 // Longest time for which a life may still hold a lease that it took from an order for a former one.
 time_ms controller::foreign_lease_left(const worker_ref& life, time_ms wall) const {
     const auto age = wall - life.started_at - wall_clock_error;
-    return std::clamp<time_ms>(announcement_delay + max_foreign_lease - age, 0, max_foreign_lease);
+    return std::clamp<time_ms>(announcement_delay + foreign_lease() - age, 0, foreign_lease());
 }
 
 // Takes over all assigned runs in the job table, with the longest lease that the orders of an
@@ -93,7 +107,7 @@
                     }
                     target.seen_since = now;
                     target.inherited_lease_end =
-                        now + std::max(max_granted_lease, foreign_lease_left(target.ref, wall));
+                        now + std::max(granted_lease(), foreign_lease_left(target.ref, wall));
                     live_run run;
                     run.task = {id, k, s, i};
                     run.run = tasks[i].run;
@@ -197,7 +211,7 @@
     next.ref = {ended.ref.id, started_at};
     next.address = address;
     next.seen_since = now;
-    next.inherited_lease_end = now + max_foreign_lease;
+    next.inherited_lease_end = now + foreign_lease();
     if (!kept.empty())
         log_event(log_level::info, "runs_kept_for_next_life")
             .field("worker", next.ref.id)
@@ -479,7 +493,7 @@
 // Marks the runs of a silent worker as lost that cannot be running any more. Those that its next
 // life may have begun run on for longer, because that life may have taken a longer lease.
 void controller::mark_expired_runs_lost(worker& silent, time_ms now) {
-    const bool next_life_expired = silent.next_life_lease_expired(now);
+    const bool next_life_expired = silent.next_life_lease_expired(now, granted_lease());
     std::vector<run_key> expired;
     for (const auto& [key, run] : silent.runs) {
         if (next_life_expired || !run.may_begin_in_next_life())
@@ -513,7 +527,7 @@
     std::erase_if(ended_lives_,
                   [&](const auto& item) { return now - item.second > ended_life_retention; });
     std::erase_if(dropped_lives_, [&](const auto& item) {
-        return now - item.second.open_lease_at > max_foreign_lease;
+        return now - item.second.open_lease_at > foreign_lease();
     });
 }
 
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -22,6 +22,7 @@
 
 struct controller_settings {
     time_ms stop_time{0};       // longest time a worker takes to stop a run
+    time_ms max_lease{10'000};  // longest lease that a worker grants, whatever an order names
     time_ms restore_time{0};    // until a task resumed from a checkpoint makes progress
     bool forecast_turns = true; // move VMs ahead of expected surges
     vm_settings vms;
@@ -164,6 +165,8 @@
     void ask_advice(const ready_step& item, const std::vector<worker*>& pool, advice& known);
     std::string ticket_for(const task_id& task, const worker_ref& target) const;
     void inherit_runs(time_ms now, time_ms wall);
+    time_ms granted_lease() const;
+    time_ms foreign_lease() const;
     time_ms foreign_lease_left(const worker_ref& life, time_ms wall) const;
     void mark_expired_runs_lost(worker& silent, time_ms now);
     void inherit_load(time_ms now, time_ms wall);
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -13,8 +13,8 @@
     return clock + static_cast<time_ms>(elapsed) > lease_until;
 }
 
-bool worker::next_life_lease_expired(time_ms now) const {
-    return now >= inherited_lease_end && now - open_lease_at >= max_granted_lease;
+bool worker::next_life_lease_expired(time_ms now, time_ms granted_lease) const {
+    return now >= inherited_lease_end && now - open_lease_at >= granted_lease;
 }
 
 time_ms worker::lease_to_grant(time_ms now) const {
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -18,12 +18,6 @@
 inline constexpr time_ms max_order_delay{12'000};
 // Lowest rate of a worker's clock relative to the local one.
 inline constexpr double min_clock_rate = 0.98;
-// Longest time for which a worker's lease lasts once it carries an order out, whatever end the
-// order names, on the local clock. A life that carries out an order for a former one takes this
-// much: the clock of a life starts anew, so that the end in the order is far ahead.
-inline constexpr time_ms max_granted_lease{static_cast<time_ms>(10'000 / min_clock_rate) + 100};
-// Longest time for which a life may hold such a lease, from the end of the former one on.
-inline constexpr time_ms max_foreign_lease = max_order_delay + max_granted_lease;
 
 // From this many workers on, answers and decisions are batched for some ms, because each costs
 // more.
@@ -151,7 +145,8 @@
     // True once no run that this life has begun can be running.
     bool lease_expired(time_ms now) const;
     // True once a next life under the same id can be running nothing that it has begun so far.
-    bool next_life_lease_expired(time_ms now) const;
+    // `granted_lease`: see controller::granted_lease.
+    bool next_life_lease_expired(time_ms now, time_ms granted_lease) const;
     // End of a lease granted now, on the worker's clock.
     time_ms lease_to_grant(time_ms now) const;
     live_run* find(const task_id& task, std::uint32_t run);
--- a/tests/users_platform/protocol_test.cpp
+++ b/tests/users_platform/protocol_test.cpp
@@ -298,13 +298,14 @@
             R"("ListenAddrs":{"Control":"10.1.0.11:8623"},"InternalPortRange":[7060,7075],)"
             R"("Seeds":["10.1.0.11:8623","10.2.0.26:8623"],"Bootstrap":true,)"
             R"("DataDir":"/data/x","FaultTolerance":{"Machines":2},"Unknown":1,)"
-            R"("Bounds":{"GraceS":6,"StopMs":400,"MoveS":1.5,"LeaseMs":3000},)"
+            R"("Bounds":{"GraceS":6,"StopMs":400,"MoveS":1.5,"LeaseMs":3000,"HoldMaxMs":8000},)"
             R"("CloudApi":{"Address":"10.9.0.1:80","DutyPerS":64.0}})";
         const auto decoded = decode_settings(text);
         CPPUNIT_ASSERT(std::holds_alternative<process_settings>(decoded));
         const auto& value = std::get<process_settings>(decoded);
         CPPUNIT_ASSERT(value.first_start);
         CPPUNIT_ASSERT_EQUAL(time_ms{1'500}, value.move_time);
+        CPPUNIT_ASSERT_EQUAL(time_ms{8'000}, value.max_lease);
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, value.tolerated_vm_losses);
         CPPUNIT_ASSERT_EQUAL(std::string("10.2.0.26:7060"), seed_link_addresses(value)[1]);
         CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.11:7061"), metrics_address(value));
--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -20,7 +20,6 @@
 constexpr time_ms upkeep_duration{2'000};
 constexpr time_ms election_time{1'500};
 constexpr time_ms failure_notice_time{4'500};
-constexpr time_ms max_lease{10'000};
 constexpr time_ms advice_time{60};
 constexpr time_ms ticket_lifetime{3'000};
 constexpr int complete_percent = 100;
@@ -91,6 +90,7 @@
     controller_settings settings;
     settings.vms = {"n1", options_.vm_orders, 3'000, move_duration, upkeep_duration};
     settings.forecast_turns = options_.forecast_turns;
+    settings.max_lease = options_.max_lease;
     controller_ = std::make_unique<controller>(table_, settings);
     controller_->start_leading(term_, now_, now_);
 }
@@ -328,9 +328,9 @@
                     accept_fence(target, value.fence) ? order_answer::done : order_answer::fenced;
                 if (answer == order_answer::done) {
                     if (value.lease_until)
-                        target.lease_until =
-                            std::max(target.lease_until,
-                                     std::min(*value.lease_until, target.clock(now_) + max_lease));
+                        target.lease_until = std::max(
+                            target.lease_until,
+                            std::min(*value.lease_until, target.clock(now_) + options_.max_lease));
                     std::erase_if(target.ended, [&](const ended_task& item) {
                         return item.number <= value.last_seen;
                     });
@@ -479,8 +479,8 @@
         value.ticket != value.task.job + target.ref.id)
         return order_answer::no_ticket;
     check_start(target, value);
-    target.lease_until =
-        std::max(target.lease_until, std::min(value.lease_until, target.clock(now_) + max_lease));
+    target.lease_until = std::max(
+        target.lease_until, std::min(value.lease_until, target.clock(now_) + options_.max_lease));
     const auto& spec = spec_of(value.task);
     fake_run run;
     run.task = value.task;
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -74,6 +74,7 @@
     bool vm_orders = true;       // false for fixed pools
     bool forecast_turns = true;  // VMs move ahead of expected surges
     bool advice = false;         // queue qa needs placement advice
+    time_ms max_lease{10'000};   // longest lease that a worker grants
     double late_order_share = 0; // orders unanswered and carried out 2 to 12 s late
     // Share of the answers to other orders than holds that tell the life of the worker.
     double life_in_answers = 0;
--- a/tests/workload/fleet_test.cpp
+++ b/tests/workload/fleet_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(next_life_keeps_the_lease_of_an_order_for_the_former_one);
     CPPUNIT_TEST(next_leader_allows_for_leases_of_orders_for_former_lives);
     CPPUNIT_TEST(unlisted_run_may_outlast_the_lease_of_the_known_life);
+    CPPUNIT_TEST(longest_lease_depends_on_the_deployment);
     CPPUNIT_TEST(announcement_of_another_writer_ends_a_worker);
     CPPUNIT_TEST(tasks_wait_for_lease_after_address_is_reused);
     CPPUNIT_TEST(worker_at_a_former_address_of_another_ends_the_process);
@@ -577,20 +578,27 @@
     // The next life of a worker carried out a start for the former one, and was cut off before the
     // leader learnt of it. Its tasks were started elsewhere when the lease of the former life
     // ended.
-    void unlisted_run_may_outlast_the_lease_of_the_known_life() {
+    void unlisted_run_may_outlast_the_lease_of_the_known_life() { lose_sight_of_next_life(10'000); }
+
+    // As above, where workers grant leases of up to 20 s.
+    void longest_lease_depends_on_the_deployment() { lose_sight_of_next_life(20'000); }
+
+    static void lose_sight_of_next_life(time_ms max_lease) {
         fleet_options options;
         options.vm_orders = false;
+        options.max_lease = max_lease;
         fake_fleet fleet(options);
-        fleet.run_for(6'000);
+        fleet.run_for(max_lease);
         const auto worker = fleet.workers().begin()->first;
         fleet.restart(worker);
         fleet.workers().at(worker).answers_starts_only = true;
         for (int i = 0; i < 2; ++i)
-            CPPUNIT_ASSERT(fleet.submit("qa", id_of(i), one_step(make_step(4, 2'000, 9'500))));
+            CPPUNIT_ASSERT(
+                fleet.submit("qa", id_of(i), one_step(make_step(4, 2'000, max_lease - 500))));
         fleet.run_for(100);
         CPPUNIT_ASSERT(!fleet.workers().at(worker).runs.empty());
         fleet.set_unresponsive(worker, true);
-        fleet.run_for(30'000);
+        fleet.run_for(3 * max_lease);
         assert_no_violations(fleet);
         for (int i = 0; i < 2; ++i)
             CPPUNIT_ASSERT(job_state::completed == fleet.table().find_job(id_of(i))->state);
