A repeated submission of an accepted job is not refused for its removed route

Cause: the route was looked for before the job. A leader that froze before it answered leaves an accepted job behind whose queue may be gone when the submission comes again. Change: such a submission gets 504, no clear answer; ids that are not known still get 404. Result: cluster_test::submission_of_accepted_job_is_refused_after_its_route_was_removed fails on the code before (404), passes now.

--- a/src/control/job_control.cpp
+++ b/src/control/job_control.cpp
@@ -643,8 +643,14 @@
         return answer_query(request, reply);
     const auto path = without_query(request.target);
     const auto* queue = table_.config().route(without_port(request.host), path);
-    if (!queue)
-        return reply(make_reply(request.id, status_not_found));
+    if (!queue) {
+        // A refusal says that the job never runs. A submission may be accepted and its answer lost
+        // before its queue is removed, so that its repetition gets no clear answer.
+        const std::string last(path.substr(path.rfind('/') + 1));
+        const bool accepted = table_.find_job(last) || submissions_.contains(last);
+        const bool unclear = request.method == "POST" && accepted;
+        return reply(make_reply(request.id, unclear ? status_gateway_timeout : status_not_found));
+    }
     const std::string id(path.substr(queue->prefix.size()));
     if (!protocol_.is_job_id(id))
         return reply(make_reply(request.id, status_bad_request));
--- a/tests/jobs/cluster_test.cpp
+++ b/tests/jobs/cluster_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(caller_does_not_wait_for_a_lost_majority);
     CPPUNIT_TEST(resend_during_the_commit_is_not_refused);
     CPPUNIT_TEST(cancel_during_the_commit_takes_effect);
+    CPPUNIT_TEST(submission_of_accepted_job_is_refused_after_its_route_was_removed);
     CPPUNIT_TEST(submission_that_arrives_after_its_cancel_runs);
     CPPUNIT_TEST(two_large_configurations_at_once_block_the_log);
     CPPUNIT_TEST(configuration_larger_than_a_log_entry_is_refused);
@@ -562,6 +563,22 @@
         stop_small_cluster(*entry);
     }
 
+    // A job was accepted by a leader that froze before it answered. Its queue was removed, and the
+    // next leader refused the submission that was sent again, as if the job would never run.
+    void submission_of_accepted_job_is_refused_after_its_route_was_removed() {
+        const auto entry = start_small_cluster();
+        const std::string id = "00000000000000c3";
+        const auto entry_address = address(9, callers_port);
+        CPPUNIT_ASSERT_EQUAL(200U, call(entry_address, job_request("POST", id, long_job)).status);
+        const std::string without_route =
+            R"({"Version":100,"Routes":[],"Services":[{"Name":"s1"}]})";
+        CPPUNIT_ASSERT(wait_for([&] { return configure(leading_node(), without_route) == 200; }));
+        CPPUNIT_ASSERT_EQUAL(504U, call(entry_address, job_request("POST", id, long_job)).status);
+        CPPUNIT_ASSERT_EQUAL(
+            404U, call(entry_address, job_request("POST", "00000000000000c4", long_job)).status);
+        stop_small_cluster(*entry);
+    }
+
     // The size of a configuration that has grown by many routes; two of them exceed a log entry.
     static std::string large_configuration(int version, int routes = 1'400) {
         auto out = configuration(version);
