A silent worker gets no acknowledgement of ends

Cause: a hold acknowledges ends by number, and each life of a worker counts from 1. When a worker started again under its id, calls for its former life were carried out by the next one, starts among them. The leader noticed only when the hold under way timed out, and repeated it with the same number: the next life forgot its own ends up to it. The leader then learned of the new life, found the runs neither running nor ended, took them for lost and started them again. Change: a hold names ends only while the known life lists them and answers; one that goes to a silent worker names none. Why this works: the next life is first met by a hold that forgets nothing, so that its ends are listed and logged.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -557,12 +557,15 @@
         order.worker = item.ref;
         order.address = item.address;
         order.fence = fence_;
-        order.last_seen = item.last_seen;
         const bool unresolved = std::ranges::any_of(item.runs, [](const auto& entry) {
             const auto& run = entry.second;
             return run.stop_answered_at != 0 || run.inherited;
         });
         if (item.contacted && !item.hold_unanswered && item.ordered_away_at == 0) {
+            // A silent worker may have ended, and its next life would forget ends of its own that
+            // have the acknowledged numbers.
+            if (item.last_seen > item.acknowledged)
+                order.last_seen = item.last_seen;
             order.lease_until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.lease_until);
             item.open_lease_at = now;
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -217,6 +217,7 @@
     void end_former_holders(const worker& holder, time_ms sent_at);
     // `reason` is logged.
     void mark_lost(worker& target, const run_key& key, const char* reason);
+    void record_acknowledgement(worker& from, const worker_lists& lists);
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
     void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
     void record_ends(worker& from, const worker_lists& lists, time_ms now);
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -100,6 +100,7 @@
         from->unanswered_start_at = 0;
         from->clock = lists.clock;
         from->clock_seen_at = received_at;
+        record_acknowledgement(*from, lists);
         resolve_listed(*from, lists, sent_at, received_at);
         record_ends(*from, lists, received_at);
         resolve_absent(*from, lists, sent_at);
@@ -127,6 +128,13 @@
     }
 }
 
+// A worker lists all ends that it has not forgotten.
+void controller::record_acknowledgement(worker& from, const worker_lists& lists) {
+    from.acknowledged = from.last_seen;
+    for (const auto& item : lists.ended)
+        from.acknowledged = std::min(from.acknowledged, item.number - 1);
+}
+
 // Updates the runs that the worker lists as running.
 void controller::resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at,
                                 time_ms now) {
--- a/src/workload/orders.h
+++ b/src/workload/orders.h
@@ -37,7 +37,7 @@
     worker_ref worker;
     std::string address;
     std::uint64_t fence = 0;
-    std::uint64_t last_seen = 0;        // number of the last end committed to the log
+    std::uint64_t last_seen = 0;        // ends up to this number are acknowledged; 0 for none
     std::optional<time_ms> lease_until; // new end of the lease, on the worker's clock
     time_ms wait{0}; // longest time the worker may delay the answer to wait for an end
 };
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -143,6 +143,7 @@
     time_ms unanswered_start_at{0}; // with no later answer from the worker; 0 if none
     std::uint64_t last_seen = 0;    // ends up to this number are in the log
     std::uint64_t last_logged = 0;  // ends up to this number were proposed to the log
+    std::uint64_t acknowledged = 0; // ends up to this number are not listed any more
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
