The next life of a worker gets short tasks once no acknowledgement for a former one can arrive

Cause: an unanswered hold may be carried out up to 12 s later, also by the next life of the worker. If it acknowledges ends, that life forgets its own ends with these numbers that the leader has not read yet. Change: the leader notes when an acknowledgement goes unanswered, over all lives of an id and while the worker is dropped. Until 12 s later the next life gets long-running tasks only (exclusion forgets_ends, counted by explain-placement). With fewer than 100 workers a hold that acknowledges ends is answered at once and another one waits, so that the outcome is rarely open when a worker ends; in larger fleets the further hold would cost the leader too much. Why this works: no end can be forgotten in that time, because the runs that begin then don't end as done.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -159,8 +159,9 @@
     for (const auto& start : gone.loose_starts)
         gone.open_lease_at = std::max(gone.open_lease_at, start.sent_at);
     if (gone.open_lease_at != 0)
-        dropped_lives_.insert_or_assign(
-            id, dropped_life{gone.ref, std::move(gone.loose_starts), gone.open_lease_at});
+        dropped_lives_.insert_or_assign(id, dropped_life{gone.ref, std::move(gone.loose_starts),
+                                                         gone.open_lease_at,
+                                                         gone.last_open_acknowledgement()});
     set_address(gone, {});
     workers_.erase(it);
 }
@@ -174,6 +175,7 @@
     added.ref = former->second.ref;
     added.loose_starts = former->second.loose_starts;
     added.open_lease_at = former->second.open_lease_at;
+    added.former_acknowledgement_at = former->second.open_acknowledgement_at;
 }
 
 // The only place that changes the address of a known worker, so that the index follows.
@@ -222,6 +224,7 @@
     next.address = address;
     next.seen_since = now;
     next.inherited_lease_end = now + foreign_lease();
+    next.former_acknowledgement_at = ended.last_open_acknowledgement();
     if (!kept.empty())
         log_event(log_level::info, "runs_kept_for_next_life")
             .field("worker", next.ref.id)
@@ -564,8 +567,10 @@
         if (item.contacted && !item.hold_unanswered && item.ordered_away_at == 0) {
             // A silent worker may have ended, and its next life would forget ends of its own that
             // have the acknowledged numbers.
-            if (item.last_seen > item.acknowledged)
+            if (item.last_seen > item.acknowledged) {
                 order.last_seen = item.last_seen;
+                item.acknowledging = true;
+            }
             order.lease_until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.lease_until);
             item.open_lease_at = now;
@@ -574,6 +579,10 @@
                 order.wait = 0;
                 item.next_hold_at = now + hold_retry;
             }
+            // Without a wait, an acknowledgement is rarely unanswered when the worker ends. In
+            // large fleets the hold that then follows would cost the leader too much.
+            if (item.acknowledging && workers_.size() < large_fleet_workers)
+                order.wait = 0;
         }
         item.hold_under_way = true;
         pending_decisions_.orders.emplace_back(std::move(order));
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -360,6 +360,7 @@
         worker_ref ref;
         std::vector<loose_start> loose_starts;
         time_ms open_lease_at{0};
+        time_ms open_acknowledgement_at{0}; // see worker::last_open_acknowledgement
     };
     std::map<std::string, dropped_life> dropped_lives_;
     // Lives that ended because their VM was moved or taken down, with the time of their end.
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -76,6 +76,9 @@
     if (!from || order.fence != fence_)
         return;
     from->hold_under_way = false;
+    const bool acknowledging = std::exchange(from->acknowledging, false);
+    if (acknowledging && (answer == order_answer::no_answer || answer == order_answer::undelivered))
+        from->unanswered_acknowledgement_at = received_at;
     if (answer == order_answer::undelivered) {
         from->next_hold_at = received_at + hold_retry;
         return;
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -98,6 +98,9 @@
         return exclusion::no_room;
     if (!step.long_running && !(free - candidate.kept_room).can_fit(need))
         return exclusion::upkeep_room;
+    // A long-running task is started again however it ends.
+    if (!step.long_running && candidate.may_forget_ends(now))
+        return exclusion::forgets_ends;
     return exclusion::none;
 }
 
--- a/src/workload/placement.h
+++ b/src/workload/placement.h
@@ -89,12 +89,14 @@
     upkeep_room, // its room is kept for tasks that leave VMs due for maintenance
     label,
     max_per_worker,
-    reservation // its room is kept for a long-running task that waits
+    reservation, // its room is kept for a long-running task that waits
+    forgets_ends // it may forget the end of the task; see worker::may_forget_ends
 };
 
-inline constexpr name_table<12> exclusion_names{
-    "none",         "draining", "leaving",     "reserved", "silent",         "quarantined",
-    "on_probation", "no_room",  "upkeep_room", "label",    "max_per_worker", "reservation"};
+inline constexpr name_table<13> exclusion_names{
+    "none",           "draining",     "leaving",     "reserved",    "silent",
+    "quarantined",    "on_probation", "no_room",     "upkeep_room", "label",
+    "max_per_worker", "reservation",  "forgets_ends"};
 constexpr const auto& names_of(exclusion) {
     return exclusion_names;
 }
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -33,6 +33,16 @@
     return clock_seen_at < last_arrival + announcement_delay && now < last_arrival + granted_lease;
 }
 
+// A hold that acknowledges ends grants a lease as well.
+time_ms worker::last_open_acknowledgement() const {
+    return std::max({former_acknowledgement_at, unanswered_acknowledgement_at,
+                     acknowledging ? open_lease_at : time_ms{0}});
+}
+
+bool worker::may_forget_ends(time_ms now) const {
+    return former_acknowledgement_at != 0 && now - former_acknowledgement_at < max_order_delay;
+}
+
 time_ms worker::lease_to_grant(time_ms now) const {
     return clock + (now - clock_seen_at) + worker_lease;
 }
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -144,6 +144,10 @@
     std::uint64_t last_seen = 0;    // ends up to this number are in the log
     std::uint64_t last_logged = 0;  // ends up to this number were proposed to the log
     std::uint64_t acknowledged = 0; // ends up to this number are not listed any more
+    bool acknowledging = false;     // the hold under way acknowledges ends
+    // When a hold that acknowledged ends was last found to have no answer; 0 if never.
+    time_ms unanswered_acknowledgement_at{0};
+    time_ms former_acknowledgement_at{0}; // as above, for former lives
     bool ends_under_way() const { return last_logged > last_seen; }
 
     std::map<run_key, live_run> runs;
@@ -165,6 +169,11 @@
     bool next_life_lease_expired(time_ms now, time_ms granted_lease) const;
     // True if a start may still arrive, or may run in a next life that is not known yet.
     bool may_be_carried_out(const loose_start& start, time_ms now, time_ms granted_lease) const;
+    // When the latest acknowledgement was sent that the next life may carry out; 0 if none was.
+    time_ms last_open_acknowledgement() const;
+    // True if an acknowledgement for a former life may still arrive: this life would forget ends of
+    // its own that it has not listed.
+    bool may_forget_ends(time_ms now) const;
     // End of a lease granted now, on the worker's clock.
     time_ms lease_to_grant(time_ms now) const;
     live_run* find(const task_id& task, std::uint32_t run);
--- a/tests/workload/explain_test.cpp
+++ b/tests/workload/explain_test.cpp
@@ -197,6 +197,7 @@
         with(exclusion::no_room).used.cpu = 3'500;
         with(exclusion::upkeep_room).kept_room.cpu = 3'500;
         with(exclusion::label).kind = "slow";
+        with(exclusion::forgets_ends).former_acknowledgement_at = now;
         run.task = {"job", 0, 0, 1};
         with(exclusion::max_per_worker).add(run);
         candidate_pool open;
