--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -147,7 +147,7 @@
         .field("runs", std::uint64_t{gone.runs.size()});
     while (!gone.runs.empty()) {
         const auto key = gone.runs.begin()->first;
-        mark_lost(gone, key);
+        mark_lost(gone, key, reason);
     }
 }
 
@@ -159,8 +159,9 @@
     for (const auto& start : gone.loose_starts)
         gone.open_lease_at = std::max(gone.open_lease_at, start.sent_at);
     if (gone.open_lease_at != 0)
-        dropped_lives_.insert_or_assign(
-            id, dropped_life{gone.ref, std::move(gone.loose_starts), gone.open_lease_at});
+        dropped_lives_.insert_or_assign(id, dropped_life{gone.ref, std::move(gone.loose_starts),
+                                                         gone.open_lease_at,
+                                                         gone.last_open_acknowledgement()});
     set_address(gone, {});
     workers_.erase(it);
 }
@@ -174,6 +175,7 @@
     added.ref = former->second.ref;
     added.loose_starts = former->second.loose_starts;
     added.open_lease_at = former->second.open_lease_at;
+    added.former_acknowledgement_at = former->second.open_acknowledgement_at;
 }
 
 // The only place that changes the address of a known worker, so that the index follows.
@@ -222,6 +224,7 @@
     next.address = address;
     next.seen_since = now;
     next.inherited_lease_end = now + foreign_lease();
+    next.former_acknowledgement_at = ended.last_open_acknowledgement();
     if (!kept.empty())
         log_event(log_level::info, "runs_kept_for_next_life")
             .field("worker", next.ref.id)
@@ -243,8 +246,15 @@
 void controller::observe_next_life(const worker_ref& former, std::int64_t started_at,
                                    std::uint64_t fence, time_ms now) {
     auto* const target = worker_of(former);
-    if (target && fence == fence_)
-        replace_life(*target, started_at, target->address, now);
+    if (!target || fence != fence_)
+        return;
+    // The life that has answered knew nothing of these ends.
+    log_event(log_level::info, "next_life_answered")
+        .field("worker", former.id)
+        .field("former_born", former.started_at)
+        .field("born", started_at)
+        .field("acknowledged_ends", target->last_seen);
+    replace_life(*target, started_at, target->address, now);
 }
 
 bool controller::observe(const worker_report& report, time_ms now) {
@@ -441,7 +451,7 @@
             ended_runs.push_back(key);
     }
     for (const auto& key : ended_runs)
-        mark_lost(gone, key);
+        mark_lost(gone, key, "VM gone");
 }
 
 void controller::applied(const command& value, time_ms now, time_ms wall) {
@@ -517,7 +527,7 @@
         .field("runs", std::uint64_t{expired.size()})
         .field("runs_left", std::uint64_t{silent.runs.size() - expired.size()});
     for (const auto& key : expired)
-        mark_lost(silent, key);
+        mark_lost(silent, key, "lease expired");
 }
 
 // Ends runs on silent workers whose leases have expired.
@@ -550,12 +560,17 @@
         order.worker = item.ref;
         order.address = item.address;
         order.fence = fence_;
-        order.last_seen = item.last_seen;
         const bool unresolved = std::ranges::any_of(item.runs, [](const auto& entry) {
             const auto& run = entry.second;
             return run.stop_answered_at != 0 || run.inherited;
         });
         if (item.contacted && !item.hold_unanswered && item.ordered_away_at == 0) {
+            // A silent worker may have ended, and its next life would forget ends of its own that
+            // have the acknowledged numbers.
+            if (item.last_seen > item.acknowledged) {
+                order.last_seen = item.last_seen;
+                item.acknowledging = true;
+            }
             order.lease_until = item.lease_to_grant(now);
             item.lease_until = std::max(item.lease_until, *order.lease_until);
             item.open_lease_at = now;
@@ -564,6 +579,10 @@
                 order.wait = 0;
                 item.next_hold_at = now + hold_retry;
             }
+            // Without a wait, an acknowledgement is rarely unanswered when the worker ends. In
+            // large fleets the hold that then follows would cost the leader too much.
+            if (item.acknowledging && workers_.size() < large_fleet_workers)
+                order.wait = 0;
         }
         item.hold_under_way = true;
         pending_decisions_.orders.emplace_back(std::move(order));
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -215,7 +215,9 @@
     bool is_in_known_pool(const worker_report& report) const;
     void set_address(worker& target, const std::string& address);
     void end_former_holders(const worker& holder, time_ms sent_at);
-    void mark_lost(worker& target, const run_key& key);
+    // `reason` is logged.
+    void mark_lost(worker& target, const run_key& key, const char* reason);
+    void record_acknowledgement(worker& from, const worker_lists& lists);
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
     void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
     void record_ends(worker& from, const worker_lists& lists, time_ms now);
@@ -358,6 +360,7 @@
         worker_ref ref;
         std::vector<loose_start> loose_starts;
         time_ms open_lease_at{0};
+        time_ms open_acknowledgement_at{0}; // see worker::last_open_acknowledgement
     };
     std::map<std::string, dropped_life> dropped_lives_;
     // Lives that ended because their VM was moved or taken down, with the time of their end.
