--- a/review/standins-3/harness.hh
+++ b/review/standins-3/harness.hh
@@ -329,6 +329,7 @@
     bool lasts = false;
     std::string label = {};
     int max_per_server = 0;
+    int may_miss = 0;
 };
 struct job_plan {
     std::string spec;
@@ -674,12 +675,19 @@
     std::thread heart_;
 };
 
-// The platform's list of machines. Declines moves and upkeep: no case orders any.
+// The platform's machines. An upkeep ends the minion on a machine; another one joins 2 s later
+// (`MaintenanceS`). Moves are declined: no case has a second pool.
 class platform {
   public:
     explicit platform(const std::string& address)
         : server_(address, [this](const server_request& request) { return handle(request); }) {}
-    void add(const minion* item) {
+    platform(const platform&) = delete;
+    platform& operator=(const platform&) = delete;
+    ~platform() {
+        for (auto& thread : upkeeps_)
+            thread.join();
+    }
+    void add(minion* item) {
         const std::lock_guard guard(mutex_);
         minions_.push_back(item);
     }
@@ -687,10 +695,51 @@
         const std::lock_guard guard(mutex_);
         minions_.clear();
     }
+    // Called after an upkeep with the settings of the minion that it ended; returns the next one.
+    std::function<minion*(const minion_settings&)> next_minion;
 
   private:
+    // Names of the machines in upkeep, and of those that had theirs in a wave.
+    bool is_in_upkeep(const std::string& machine) const { return in_upkeep_.contains(machine); }
+    server_answer upkeep(const std::string& machine, std::uint64_t wave) {
+        if (!had_upkeep_.insert({wave, machine}).second)
+            return {200, {}};
+        for (auto& item : minions_) {
+            if (item->settings().machine != machine)
+                continue;
+            if (item->is_dark()) {
+                had_upkeep_.erase({wave, machine});
+                return {409, R"({"Reason":"busy"})"};
+            }
+            record.line("the platform begins the upkeep of %s, with minion %s", machine.c_str(),
+                        item->settings().id.c_str());
+            in_upkeep_.insert(machine);
+            item->set_mode(minion_mode::dark);
+            upkeeps_.emplace_back([this, machine, settings = item->settings()] {
+                constexpr ms maintenance_time = 2'000;
+                sleep_ms(maintenance_time);
+                auto* const next = next_minion(settings);
+                const std::lock_guard guard(mutex_);
+                in_upkeep_.erase(machine);
+                for (auto& one : minions_) {
+                    if (one->settings().machine == machine)
+                        one = next;
+                }
+                record.line("the upkeep of %s is over, with minion %s", machine.c_str(),
+                            next->settings().id.c_str());
+            });
+            return {200, {}};
+        }
+        had_upkeep_.erase({wave, machine});
+        return {400, {}};
+    }
     server_answer handle(const server_request& request) {
         const std::lock_guard guard(mutex_);
+        if (request.target == "/clementineroad/machine-upkeep" && next_minion) {
+            const auto body = json::parse(request.body).as_object();
+            return upkeep(std::string(body.at("Machine").as_string()),
+                          body.at("Wave").to_number<std::uint64_t>());
+        }
         if (request.method == "POST") {
             record.line("the platform declines %s %s", request.target.c_str(),
                         request.body.c_str());
@@ -703,7 +752,7 @@
             machines.push_back(json::object{
                 {"Machine", one.machine},
                 {"Pool", one.service},
-                {"State", down ? "down" : "up"},
+                {"State", is_in_upkeep(one.machine) ? "upkeep" : down ? "down" : "up"},
                 {"Zone", one.zone},
                 {"Labels", {one.kind, one.rack}},
                 {"Capacity", {{"Cpu", one.cpu}, {"MemMb", one.memory}, {"Gpu", 0}}},
@@ -712,7 +761,10 @@
         return {200, json::serialize(json::object{{"Machines", machines}, {"NextToken", ""}})};
     }
     std::mutex mutex_;
-    std::vector<const minion*> minions_;
+    std::vector<minion*> minions_;
+    std::set<std::string> in_upkeep_;
+    std::set<std::pair<std::uint64_t, std::string>> had_upkeep_;
+    std::list<std::thread> upkeeps_;
     http_server server_;
 };
 
@@ -1009,6 +1061,8 @@
             row["RequiredLabel"] = step.label;
         if (step.max_per_server > 0)
             row["MaxPerServer"] = step.max_per_server;
+        if (step.may_miss > 0)
+            row["MayMiss"] = step.may_miss;
         steps.push_back(std::move(row));
     }
     return json::serialize(json::object{{"Spec", plan.spec}, {"Steps", steps}});
