--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -72,6 +72,10 @@
     }
     if (late.empty())
         throw cannot_run{"no job was accepted after the trouble"};
+    const auto late_lasting = new_job_id();
+    const bool lasting_accepted =
+        hand_in(front, prefix, late_lasting,
+                {"small", {{.cpu = 1'000, .memory = 500, .work = 700, .lasts = true}}});
 
     record.line("end of the traffic");
     sleep_ms(finish_time);
@@ -95,6 +99,10 @@
         if (runs.empty() && (state == "queued" || state == "active"))
             ++stalled;
     }
+    // `finish_s` doesn't matter for a task that lasts.
+    const bool lasting_stalled = lasting_accepted && !jobs.has_begun(late_lasting);
+    record.line("LOST: the small lasting job was %s and has %s", lasting_accepted ? "accepted" : "refused",
+                lasting_stalled ? "never had a run" : "a run");
     if (!system.all_running())
         record.line("a process has ended");
     record.line("LOST: %d of %zu accepted jobs have nothing running %lld s after the end of the "
@@ -102,7 +110,7 @@
                 stalled, late.size(), static_cast<long long>((finish_time + stalled_time) / 1'000),
                 room ? "yes" : "no");
     cloud.clear();
-    return stalled > 0 && room ? broken : held;
+    return (stalled > 0 || lasting_stalled) && room ? broken : held;
 }
 
 } // namespace
