--- a/review/standins-3/harness.hh
+++ b/review/standins-3/harness.hh
@@ -330,6 +330,7 @@
     std::string label = {};
     int max_per_server = 0;
     int may_miss = 0;
+    ms estimate = 0; // `EstimateMs`; `work` if 0
 };
 struct job_plan {
     std::string spec;
@@ -1054,7 +1055,7 @@
     json::array steps;
     for (const auto& step : plan.steps) {
         json::object row{{"Count", step.count}, {"Cpu", step.cpu}, {"MemMb", step.memory},
-                         {"EstimateMs", step.work}};
+                         {"EstimateMs", step.estimate > 0 ? step.estimate : step.work}};
         if (step.lasts)
             row["LongRunning"] = true;
         if (!step.label.empty())
