--- a/review/11/case.cc
+++ b/review/11/case.cc
@@ -1,5 +1,6 @@
-// Case 11: a minion fails all that it starts for 6.5 s while a lasting task is at work on it. After
-// that it is sound. Jobs that only it may run are accepted and never started.
+// Case 11: a wave names the machine on which both tasks of a lasting step are at work; one of them may
+// be away, and no other minion may run them. The system stops one, and keeps the minion free for an
+// upkeep that never comes: it is up, nearly idle, gets no work, and the stopped task never runs again.
 #include "harness.hh"
 
 using namespace review;
@@ -7,59 +8,65 @@
 namespace {
 
 constexpr const char* prefix = "/puxa400/";
-constexpr ms grey_time = 6'500;     // `srv_grey`, errors: as long as in the site file
-constexpr ms finish_time = 14'000;  // `finish_s`
-constexpr ms stalled_time = 3'000;  // of LOST
+constexpr ms finish_time = 14'000; // `finish_s`
+constexpr ms stalled_time = 3'000; // of LOST
 
 int run(const std::string& root) {
+    std::mutex mutex;
+    std::vector<std::unique_ptr<minion>> minions;
     system_processes system({.controls = 3, .entries = 1}, root);
     platform cloud(system.platform_address());
+    int next_address = 20;
+    cloud.next_minion = [&](const minion_settings& former) {
+        const std::lock_guard guard(mutex);
+        auto one = former;
+        one.id = "i-" + std::to_string(next_address);
+        one.address = system.minion_address(next_address++);
+        return minions.emplace_back(std::make_unique<minion>(one, system.controls())).get();
+    };
     system.start_all();
     system.wait_until_ready();
     if (system.operate("PUT", "/clementineroad/config",
                        configuration(7, {{prefix, "huvo11a"}})).status != 200)
         throw cannot_run{"the configuration was refused"};
-    // Seven minions, of which one is of kind b: its share is 0.143, `srv_grey` allows 0.15.
-    std::vector<std::unique_ptr<minion>> minions;
+    // Seven minions, one of them of kind a.
     for (int i = 0; i < 7; ++i) {
         minion_settings one;
         one.id = "i-" + std::to_string(i);
         one.machine = "m-" + std::to_string(i);
         one.service = "huvo11a";
         one.address = system.minion_address(i);
-        one.kind = i == 0 ? "b" : "a";
-        one.rack = i < 4 ? "r1-1" : "r1-2";
+        one.kind = i == 0 ? "a" : "b";
+        one.rack = "r1-" + std::to_string(1 + i % 4);
+        const std::lock_guard guard(mutex);
         minions.push_back(std::make_unique<minion>(one, system.controls()));
         cloud.add(minions.back().get());
     }
-    auto& target = *minions[0];
     const auto front = system.front(0);
-
     const auto lasting = new_job_id();
     if (!hand_in(front, prefix, lasting,
-                 {"lasting", {{.cpu = 3'000, .memory = 1'000, .work = 700, .lasts = true, .label = "b"}}}))
+                 {"lasting",
+                  {{.count = 2, .cpu = 3'000, .memory = 1'000, .work = 700, .lasts = true,
+                    .label = "a", .may_miss = 1}}}))
         throw cannot_run{"the lasting job was not accepted"};
-    wait_for([&] { return jobs.has_begun(lasting); }, 10'000, "the lasting task has not begun");
-    const job_plan short_job{"short", {{.cpu = 1'000, .memory = 500, .work = 500, .label = "b"}}};
+    wait_for([&] { return jobs.runs_of(lasting).size() == 2; }, 10'000,
+             "the lasting tasks have not begun");
+    const job_plan short_job{"short", {{.cpu = 1'000, .memory = 500, .work = 500, .label = "a"}}};
     const auto first = new_job_id();
     if (!hand_in(front, prefix, first, short_job))
         throw cannot_run{"the first job was not accepted"};
     wait_for([&] { return state_of(front, prefix, first) == "completed"; }, 10'000,
              "the first job was not completed");
 
-    record.line(trouble() ? "i-0 fails all that it starts for 6.5 s, its health check is good"
+    record.line(trouble() ? "the operator orders a wave over three of the seven machines"
                           : "no trouble");
-    const auto grey_until = now_ms() + grey_time;
+    // Days have waves over 0.55 of the machines.
     if (trouble())
-        target.set_mode(minion_mode::failing);
-    while (now_ms() < grey_until) {
-        hand_in(front, prefix, new_job_id(), short_job);
-        sleep_ms(700);
-    }
-    target.set_mode(minion_mode::sound);
-    record.line("i-0 is sound");
-
-    sleep_ms(3'000);
+        system.operate("POST", "/clementineroad/wave-start",
+                       R"({"Wave":1,"Machines":["m-0","m-4","m-5"],"DurationS":20,"Cap":1})");
+    sleep_ms(22'000);
+    if (trouble())
+        system.operate("GET", "/clementineroad/wave-get/1", {});
     std::vector<std::string> late;
     for (int i = 0; i < 3; ++i) {
         late.push_back(new_job_id());
@@ -68,25 +75,29 @@
     }
     if (late.empty())
         throw cannot_run{"no job was accepted after the trouble"};
-    const auto other = new_job_id();
-    const bool other_accepted = hand_in(
-        front, prefix, other, {"other", {{.cpu = 1'000, .memory = 500, .work = 500}}});
 
     record.line("end of the traffic");
     sleep_ms(finish_time);
-    int stalled = 0;
-    const auto watch_until = now_ms() + stalled_time + 1'000;
     bool room = true;
+    bool lasting_away = true; // a task of the lasting step, all the while
+    const auto watch_until = now_ms() + stalled_time + 1'000;
     while (now_ms() < watch_until) {
-        const auto used = target.used();
+        const std::lock_guard guard(mutex);
         int all_used = 0;
         for (const auto& one : minions)
             all_used += one->used().cpu;
-        // Room for the task twice over, and less than half of the service's capacity in use.
-        room = room && 16'000 - used.cpu >= 2 * 1'000 && 32'768 - used.memory >= 2 * 500 &&
-               2 * all_used < 7 * 16'000;
+        bool here = false; // room for the task twice over on a minion of kind a
+        for (const auto& one : minions)
+            here = here || (one->settings().kind == "a" && !one->is_dark() &&
+                            16'000 - one->used().cpu >= 2 * 1'000);
+        room = room && here && 2 * all_used < 7 * 16'000;
+        int at_work = 0;
+        for (const auto& one : jobs.runs_of(lasting))
+            at_work += one.ended == 0 ? 1 : 0;
+        lasting_away = lasting_away && at_work < 2;
         sleep_ms(100);
     }
+    int stalled = 0;
     for (const auto& id : late) {
         const auto state = state_of(front, prefix, id);
         const auto runs = jobs.runs_of(id);
@@ -94,9 +105,13 @@
         if (runs.empty() && (state == "queued" || state == "active"))
             ++stalled;
     }
-    if (other_accepted)
-        record.line("job %s without a label: state %s", other.c_str(),
-                    state_of(front, prefix, other).c_str());
+    ms last_end = 0;
+    for (const auto& one : jobs.runs_of(lasting))
+        last_end = std::max(last_end, one.ended);
+    // It counts from 6 s after the last run of the task.
+    lasting_away = lasting_away && last_end != 0 && now_ms() - last_end > 6'000 + stalled_time;
+    record.line("LOST: a lasting task is away: %s, since %lld ms", lasting_away ? "yes" : "no",
+                static_cast<long long>(last_end == 0 ? 0 : now_ms() - last_end));
     if (!system.all_running())
         record.line("a process has ended");
     record.line("LOST: %d of %zu accepted jobs have nothing running %lld s after the end of the "
@@ -104,7 +119,7 @@
                 stalled, late.size(), static_cast<long long>((finish_time + stalled_time) / 1'000),
                 room ? "yes" : "no");
     cloud.clear();
-    return stalled > 0 && room ? broken : held;
+    return (stalled > 0 || lasting_away) && room ? broken : held;
 }
 
 } // namespace
--- a/review/standins-3/harness.hh
+++ b/review/standins-3/harness.hh
@@ -34,6 +34,7 @@
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 namespace review {
@@ -331,6 +332,8 @@
     int max_per_server = 0;
     int may_miss = 0;
     ms estimate = 0; // `EstimateMs`; `work` if 0
+    int target = 0;  // `TargetMs`
+    bool fills = false;
 };
 struct job_plan {
     std::string spec;
@@ -445,6 +448,8 @@
         }
         changed_.notify_all();
     }
+    // Tail of the response times of the tasks that serve, in ms.
+    void set_tail(int tail) { tail_ = tail; }
     struct room {
         int cpu = 0;
         int memory = 0;
@@ -453,7 +458,7 @@
         const std::lock_guard guard(mutex_);
         room out;
         for (const auto& [task, run] : runs_) {
-            out.cpu += run.step.cpu;
+            out.cpu += run.step.fills ? 0 : run.step.cpu;
             out.memory += run.step.memory;
         }
         return out;
@@ -470,6 +475,8 @@
         step_plan step;
         bool fails = false;
         ms stop_at = 0; // 0 unless it is being stopped
+        int pace = 100;
+        double progress = 0; // ms of work
     };
     struct ended {
         std::uint64_t number = 0;
@@ -509,7 +516,7 @@
         if (request.target == "/clementineroad/hold")
             return hold(lock, in, fence);
         if (request.target == "/clementineroad/pace")
-            return fence < fence_ ? conflict("fence") : reply(200, {});
+            return pace(in, fence);
         return {400, {}};
     }
     void extend(const json::object& in) {
@@ -541,7 +548,7 @@
                         task.c_str());
             return {400, {}};
         }
-        runs_[task] = {number, now_ms(), *step, mode_ == minion_mode::failing, 0};
+        runs_[task] = {number, now_ms(), *step, mode_ == minion_mode::failing, 0, 100, 0};
         jobs.began(task, number, settings_.id);
         record.line("%s begins %s run %d", settings_.id.c_str(), task.c_str(), number);
         return reply(200, {});
@@ -558,6 +565,19 @@
             there->second.stop_at = now_ms() + stop_time;
         return reply(200, {});
     }
+    server_answer pace(const json::object& in, std::uint64_t fence) {
+        if (fence < fence_)
+            return conflict("fence");
+        fence_ = fence;
+        const std::string task(in.at("Task").as_string());
+        const auto there = runs_.find(task);
+        if (there != runs_.end() && there->second.number == in.at("Run").to_number<int>()) {
+            there->second.pace = in.at("Percent").to_number<int>();
+            record.line("%s is told to let %s work at %d percent", settings_.id.c_str(),
+                        task.c_str(), there->second.pace);
+        }
+        return reply(200, {});
+    }
     server_answer hold(std::unique_lock<std::mutex>& lock, const json::object& in,
                        std::uint64_t fence) {
         if (fence < fence_)
@@ -574,7 +594,8 @@
             return {0, {}, true};
         json::array running_rows;
         for (const auto& [task, run] : runs_)
-            running_rows.push_back(json::array{task, run.number, "", percent(run), 0});
+            running_rows.push_back(json::array{task, run.number, "", percent(run),
+                                               run.step.lasts ? tail_.load() : run.step.cpu});
         json::array ended_rows;
         for (const auto& item : ended_) {
             if (ended_rows.size() < 500)
@@ -587,16 +608,21 @@
         const auto passed = now_ms() - run.began;
         if (run.step.lasts)
             return passed >= startup ? 100 : 0;
-        return static_cast<int>(std::min<ms>(99, 100 * passed / std::max<ms>(1, run.step.work)));
+        return static_cast<int>(
+            std::min(99.0, 100 * run.progress / static_cast<double>(std::max<ms>(1, run.step.work))));
     }
     // Ends runs that are done, fail, are stopped, or whose lease has run out.
     void work() {
+        auto before = now_ms();
         while (!stopped_) {
             sleep_ms(5);
             const std::lock_guard guard(mutex_);
+            const auto now = now_ms();
+            const auto passed = static_cast<double>(now - std::exchange(before, now));
+            for (auto& [task, run] : runs_)
+                run.progress += passed * run.pace / 100;
             if (mode_ == minion_mode::dark)
                 continue;
-            const auto now = now_ms();
             const bool lapsed = clock() > lease_;
             for (auto it = runs_.begin(); it != runs_.end();) {
                 const auto& run = it->second;
@@ -608,7 +634,8 @@
                     how = "stopped";
                 else if (run.fails && now >= run.began + std::min(failure_time, run.step.work))
                     how = "failed";
-                else if (!run.fails && !run.step.lasts && now >= run.began + run.step.work)
+                else if (!run.fails && !run.step.lasts &&
+                         run.progress >= static_cast<double>(run.step.work))
                     how = "done";
                 if (how.empty()) {
                     ++it;
@@ -670,6 +697,7 @@
     std::vector<ended> ended_;
     std::uint64_t ends_ = 0;
     std::uint64_t sequence_ = 0;
+    std::atomic<int> tail_{50};
     std::atomic<bool> stopped_{false};
     std::unique_ptr<http_server> server_;
     std::thread worker_;
@@ -1064,6 +1092,10 @@
             row["MaxPerServer"] = step.max_per_server;
         if (step.may_miss > 0)
             row["MayMiss"] = step.may_miss;
+        if (step.target > 0)
+            row["TargetMs"] = step.target;
+        if (step.fills)
+            row["Fills"] = true;
         steps.push_back(std::move(row));
     }
     return json::serialize(json::object{{"Spec", plan.spec}, {"Steps", steps}});
