A reservation for an upkeep that cannot come is given up

Cause: plan_wave reserved a VM that the limit of a step kept from going down until the limit would allow it. A reserved worker takes no runs, so the task that was stopped there could not come back, and its absence kept the limit exceeded. Ruled out: the upkeep (rightly forbidden), the placement of the stopped task (it starts again as soon as the worker is not reserved).

Change: a run is stopped and its VM reserved only if another worker may run it; a reservation that leads to no order is given up after 2.5 s (limit of a step) or 8 s (short runs), and the worker then takes runs for 1 s. A VM whose short runs are expected to last longer is not reserved. The new event upkeep_reservation_given_up tells of each. The same happened to a task whose worker was lost.

--- a/src/workload/vm_manager.cpp
+++ b/src/workload/vm_manager.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "workload/placement.h"
+#include "workload/room_forecast.h"
 
 #include <algorithm>
 #include <tuple>
@@ -508,7 +509,7 @@
 
 // Appends a due VM to `out`, and its limited runs to `runs`.
 void vm_manager::describe_due_vm(const managed_vm& item, wave_situation& out,
-                                 std::vector<std::vector<live_run*>>& runs) const {
+                                 std::vector<std::vector<live_run*>>& runs, time_ms now) const {
     auto& vm = out.due.emplace_back();
     auto& limited_runs = runs.emplace_back();
     if (!item.vm_worker)
@@ -516,8 +517,18 @@
     vm.pool = item.vm_worker->pool;
     vm.runs = item.vm_worker->runs.size();
     vm.answers = item.vm_worker->contacted && !item.vm_worker->hold_unanswered;
+    vm.kind = item.vm_worker->kind;
+    vm.rack = item.vm_worker->rack;
+    if (accepts_runs(*item.vm_worker, now))
+        vm.room = item.vm_worker->capacity - item.vm_worker->kept_room;
+    vm.reserved_for = item.reserved_since == 0 ? 0 : now - item.reserved_since;
+    vm.reservable = now >= item.reservable_at;
     for (auto& [key, run] : item.vm_worker->runs) {
         vm.has_short_runs = vm.has_short_runs || !run.long_running;
+        if (run.long_running)
+            vm.room -= run.need;
+        else
+            vm.short_runs_left = std::max(vm.short_runs_left, expected_end(run, 0, now) - now);
         const auto* owner = run.long_running ? table_.find_job(run.task.job) : nullptr;
         if (!owner || owner->ended())
             continue;
@@ -527,15 +538,38 @@
         const auto step_of_run = key_of(run.task);
         const auto available = available_tasks_.find(step_of_run);
         const auto at_work = available == available_tasks_.end() ? 0U : available->second;
-        out.steps.try_emplace(step_of_run, limited_step{step.count - std::min(step.count, at_work),
-                                                        step.max_unavailable, step.required_label,
-                                                        step.gang, step.count});
+        out.steps.try_emplace(step_of_run,
+                              limited_step{step.count - std::min(step.count, at_work),
+                                           step.max_unavailable, step.required_label, step.gang,
+                                           step.count, step.max_per_worker});
         vm.limited.push_back({step_of_run, run.need, is_available(run), run.stop_wanted,
                               task_rooms_.contains(run.task)});
         limited_runs.push_back(&run);
     }
 }
 
+// A reservation is recomputed in each plan; its age is that of the oldest of consecutive ones.
+void vm_manager::update_upkeep_reservations(const wave& item, const wave_actions& actions,
+                                            const std::vector<managed_vm*>& due, time_ms now) {
+    std::set<std::size_t> reserved(actions.reserve.begin(), actions.reserve.end());
+    for (const auto index : actions.give_up) {
+        due[index]->reservable_at = now + reservation_pause;
+        log_event(log_level::warning, "upkeep_reservation_given_up")
+            .field("wave", item.order.number)
+            .field("vm", due[index]->report.vm)
+            .field("worker", due[index]->vm_worker->ref.id)
+            .field("reserved_ms", now - due[index]->reserved_since);
+    }
+    for (std::size_t i = 0; i < due.size(); ++i) {
+        if (!reserved.contains(i))
+            due[i]->reserved_since = 0;
+        else if (due[i]->reserved_since == 0)
+            due[i]->reserved_since = now;
+    }
+    for (const auto index : reserved)
+        due[index]->vm_worker->reserved = true;
+}
+
 void vm_manager::execute(const wave& item, const wave_actions& actions,
                          const std::vector<managed_vm*>& due,
                          const std::vector<std::vector<live_run*>>& runs, time_ms now,
@@ -549,8 +583,7 @@
             .field("reason", "upkeep");
         want_stop(*due[one.vm]->vm_worker, run);
     }
-    for (const auto index : actions.reserve)
-        due[index]->vm_worker->reserved = true;
+    update_upkeep_reservations(item, actions, due, now);
     for (const auto index : actions.go_down) {
         auto& vm = *due[index];
         if (vm.vm_worker) {
@@ -578,7 +611,7 @@
     situation.time_per_vm = settings_.upkeep_time + return_delay;
     std::vector<std::vector<live_run*>> runs;
     for (const auto* vm : due)
-        describe_due_vm(*vm, situation, runs);
+        describe_due_vm(*vm, situation, runs, now);
     std::vector<worker*> targets;
     for (auto& [id, one] : workers) {
         if (!situation.steps.empty() && !one.upkeep_due && accepts_runs(one, now))
--- a/src/workload/vm_manager.h
+++ b/src/workload/vm_manager.h
@@ -61,6 +61,8 @@
     time_ms retry_at{0};           // set when the platform declined an order
     time_ms idle_since{0};         // 0 if not idle
     time_ms listed_at{0};
+    time_ms reserved_since{0};   // for an upkeep that is not ordered yet; 0 if it is not
+    time_ms reservable_at{0};    // later than now if the last reservation was given up
     worker* vm_worker = nullptr; // worker on the VM; valid while a plan is made
 };
 
@@ -142,7 +144,9 @@
     std::vector<managed_vm*> find_due_vms(const wave& item, std::uint32_t& down, time_ms now,
                                           std::vector<operation>& log);
     void describe_due_vm(const managed_vm& item, wave_situation& out,
-                         std::vector<std::vector<live_run*>>& runs) const;
+                         std::vector<std::vector<live_run*>>& runs, time_ms now) const;
+    static void update_upkeep_reservations(const wave& item, const wave_actions& actions,
+                                           const std::vector<managed_vm*>& due, time_ms now);
     void execute(const wave& item, const wave_actions& actions, const std::vector<managed_vm*>& due,
                  const std::vector<std::vector<live_run*>>& runs, time_ms now,
                  std::vector<operation>& log);
--- a/src/workload/wave_plan.cpp
+++ b/src/workload/wave_plan.cpp
@@ -12,8 +12,10 @@
 // A step whose chain takes more than this part of the time left does not wait for free room.
 constexpr double relaxed_chain_part = 0.5;
 
-bool has_label(const wave_target& target, const std::string& label) {
-    return label.empty() || target.kind == label || target.rack == label;
+// `Vm`: wave_target or due_vm.
+template <class Vm>
+bool has_label(const Vm& vm, const std::string& label) {
+    return label.empty() || vm.kind == label || vm.rack == label;
 }
 
 class planner {
@@ -164,6 +166,8 @@
                     break;
                 if (taken[i] || readiness_of(i, all_needed) != part)
                     continue;
+                if (part != readiness::now && !may_reserve(i, part))
+                    continue;
                 taken[i] = true;
                 ++in_.down;
                 if (part == readiness::now) {
@@ -187,7 +191,7 @@
             return readiness::waits;
         const auto allowance = check_limits(vm);
         if (allowance == allowance_state::never)
-            return readiness::blocked;
+            return may_surplus_leave(vm) ? readiness::blocked : readiness::waits;
         if (!all_needed && (allowance == allowance_state::later || waits_for_room(item)))
             return readiness::waits;
         if (allowance == allowance_state::later)
@@ -195,6 +199,56 @@
         return item.has_short_runs ? readiness::after_short_runs : readiness::now;
     }
 
+    // Also gives up a reservation that has lasted too long.
+    bool may_reserve(std::size_t vm, readiness part) {
+        auto& item = in_.due[vm];
+        if (!item.reservable)
+            return false;
+        const bool blocked = part == readiness::blocked;
+        const auto limit = blocked ? max_blocked_reservation : max_short_run_reservation;
+        if (item.reserved_for >= limit) {
+            out_.give_up.push_back(vm);
+            item.reservable = false;
+            return false;
+        }
+        return blocked || item.short_runs_left <= max_short_run_reservation;
+    }
+
+    // True if another worker may run a task of a VM, at the latest when its short runs have ended.
+    bool may_restart_elsewhere(std::size_t vm, const limited_run& run) const {
+        const auto& step = in_.steps.at(run.step);
+        const auto& pool = in_.due[vm].pool;
+        const auto may_run = [&](const auto& other, const resources& room, bool holds_step) {
+            return other.pool == pool && has_label(other, step.required_label) &&
+                   room.can_fit(run.need) && !(step.max_per_worker != 0 && holds_step);
+        };
+        const auto holds_step = [&](const due_vm& other) {
+            return std::ranges::find(other.limited, run.step, &limited_run::step) !=
+                   other.limited.end();
+        };
+        for (std::size_t i = 0; i < in_.due.size(); ++i) {
+            const auto& other = in_.due[i];
+            if (i != vm && may_run(other, other.room, holds_step(other)))
+                return true;
+        }
+        return std::ranges::any_of(in_.targets, [&](const wave_target& target) {
+            return may_run(target, target.free_of_short, target.steps.contains(run.step));
+        });
+    }
+
+    // True if each step with more runs on a VM than may be unavailable can spare one to another
+    // worker. Otherwise the VM cannot go down before a worker joins, and a stopped run would have
+    // to start on it again.
+    bool may_surplus_leave(std::size_t vm) const {
+        const auto& item = in_.due[vm];
+        const auto counts = count_available_runs(item);
+        return std::ranges::all_of(item.limited, [&](const limited_run& run) {
+            const auto& step = in_.steps.at(run.step);
+            return step.gang || counts.at(run.step) <= step.max_unavailable ||
+                   may_restart_elsewhere(vm, run);
+        });
+    }
+
     static bool has_available_run(const due_vm& vm) {
         return std::ranges::any_of(vm.limited, &limited_run::available);
     }
--- a/src/workload/wave_plan.h
+++ b/src/workload/wave_plan.h
@@ -31,6 +31,7 @@
     std::string required_label;
     bool gang = false;       // its tasks run only together, so none leaves alone
     std::uint32_t count = 1; // of its tasks
+    std::uint32_t max_per_worker = 0;
 };
 
 // A run of a limited step on a due VM.
@@ -49,6 +50,12 @@
     bool answers = true; // its worker answers; true if it has none
     std::string pool;
     std::vector<limited_run> limited;
+    std::string kind;
+    std::string rack;
+    resources room;             // for long-running tasks; nothing if it accepts no runs
+    time_ms short_runs_left{0}; // until its short runs are expected to have ended
+    time_ms reserved_for{0};    // age of its reservation; 0 if it is not reserved
+    bool reservable = true;     // false for some time after a reservation was given up
 };
 
 // A worker that accepts runs and whose VM is not due in any wave.
@@ -90,9 +97,18 @@
     std::map<std::string, std::int64_t> lacking_cpu;
     std::vector<std::size_t> go_down;    // indices in `due`
     std::vector<std::size_t> reserve;    // to go down once their short runs have ended
+    std::vector<std::size_t> give_up;    // reserved in vain: they accept runs for some time
     std::vector<evacuation> evacuations; // runs to stop, to start again elsewhere
 };
 
+// A reserved VM accepts no runs. What the VM waits for may never come, so a reservation that leads
+// to no order is given up: after this time if the limit of a step does not allow the order,
+inline constexpr time_ms max_blocked_reservation{2'500};
+// and after this time if short runs have not ended.
+inline constexpr time_ms max_short_run_reservation{8'000};
+// Time for which the VM then accepts runs again.
+inline constexpr time_ms reservation_pause{1'000};
+
 // Least time in which all runs of each step can leave the due VMs.
 std::map<step_key, time_ms> chain_times(const wave_situation& in);
 
--- a/tests/workload/wave_plan_test.cpp
+++ b/tests/workload/wave_plan_test.cpp
@@ -52,6 +52,9 @@
     CPPUNIT_TEST(late_wave_uses_all_that_is_allowed);
     CPPUNIT_TEST(vms_that_may_go_down_are_not_held_up_by_others);
     CPPUNIT_TEST(gangs_end_as_a_whole);
+    CPPUNIT_TEST(surplus_that_no_other_worker_may_run_stays);
+    CPPUNIT_TEST(reservation_in_vain_is_given_up);
+    CPPUNIT_TEST(reservation_waits_only_for_short_runs_that_end_soon);
     CPPUNIT_TEST(random_situations_keep_all_limits);
     CPPUNIT_TEST_SUITE_END();
 
@@ -156,6 +159,64 @@
         CPPUNIT_ASSERT(actions.evacuations.empty());
     }
 
+    // A task was stopped that could only start again on the VM that was then reserved for good.
+    void surplus_that_no_other_worker_may_run_stays() {
+        auto in = situation_of({vm_with({1, 1}), vm_with({})});
+        in.max_down = 1;
+        in.due.back().room = vm_capacity;
+        in.due.back().kind = "fast";
+        auto& step = in.steps.at(step_of(1));
+        const auto stops_surplus = [&] {
+            auto late = in;
+            late.time_left = 0;
+            late.due[1].runs = 1; // so that the other VM is planned for
+            late.due[1].answers = false;
+            const auto actions = plan_wave(late);
+            CPPUNIT_ASSERT_EQUAL(actions.evacuations.size(), actions.reserve.size());
+            return !actions.reserve.empty();
+        };
+        step.required_label = "r2";
+        CPPUNIT_ASSERT(!stops_surplus());
+        step.required_label = "fast";
+        CPPUNIT_ASSERT(stops_surplus());
+        in.due.back().room = {};
+        CPPUNIT_ASSERT(!stops_surplus());
+        step.required_label = "kind";
+        in.targets[0].steps.insert(step_of(1)); // so that the task does not leave by itself
+        CPPUNIT_ASSERT(stops_surplus());
+        step.max_per_worker = 1;
+        CPPUNIT_ASSERT(!stops_surplus());
+    }
+
+    // A VM was kept free for an upkeep that the limit of a step never allowed.
+    void reservation_in_vain_is_given_up() {
+        auto in = situation_of({vm_with({1})});
+        in.targets.clear();
+        in.steps.at(step_of(1)).unavailable = 1;
+        in.time_left = 0;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_wave(in).reserve.size());
+        in.due[0].reserved_for = max_blocked_reservation;
+        const auto actions = plan_wave(in);
+        CPPUNIT_ASSERT(actions.reserve.empty());
+        CPPUNIT_ASSERT(std::vector<std::size_t>{0} == actions.give_up);
+        in.due[0].reserved_for = 0;
+        in.due[0].reservable = false;
+        CPPUNIT_ASSERT(plan_wave(in).reserve.empty());
+    }
+
+    // A VM whose short runs last for minutes would be withheld from all others until they end.
+    void reservation_waits_only_for_short_runs_that_end_soon() {
+        auto in = situation_of({vm_with({}, true)});
+        in.time_left = 0;
+        in.due[0].short_runs_left = max_short_run_reservation;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_wave(in).reserve.size());
+        in.due[0].reserved_for = max_short_run_reservation;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, plan_wave(in).give_up.size());
+        in.due[0].reserved_for = 0;
+        in.due[0].short_runs_left = max_short_run_reservation + 1;
+        CPPUNIT_ASSERT(plan_wave(in).reserve.empty());
+    }
+
     // Each plan alone must keep the limits of all steps, max_down, and the room of the targets.
     void random_situations_keep_all_limits() {
         for (std::uint64_t seed = 1; seed <= 500; ++seed) {
--- /dev/null
+++ b/tests/workload/withheld_worker_test.cpp
@@ -0,0 +1,107 @@
+// Tests that each state which keeps a worker from runs ends in bounded time. The table in
+// docs/design/withheld-workers.md lists these states.
+#include "workload/fake_fleet.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+
+namespace {
+
+using namespace clementine;
+using namespace clementine::workload;
+
+// The users' bound: a job that could run has nothing running for this long.
+constexpr time_ms longest_wait{3'000};
+// Only one worker of pool a is on this rack, so that jobs with the label have no other choice.
+constexpr const char* single_rack = "r1";
+constexpr const char* single_vm = "m104";
+
+job_spec one_step(step_spec step) {
+    job_spec out;
+    out.steps.push_back(std::move(step));
+    return out;
+}
+
+step_spec labeled(step_spec step) {
+    step.required_label = single_rack;
+    return step;
+}
+
+fleet_options one_pool(bool vm_orders) {
+    fleet_options out;
+    out.pools = {{"a", 5}};
+    out.standby_vms = 0;
+    out.vm_orders = vm_orders;
+    return out;
+}
+
+fake_worker& single_worker(fake_fleet& fleet) {
+    return fleet.workers().at(fleet.vms().at(single_vm).worker);
+}
+
+std::uint32_t waiting_tasks(const fake_fleet& fleet, const std::string& id) {
+    return fleet.table().find_job(id)->occurrences[0].steps[0].waiting;
+}
+
+class withheld_worker_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(withheld_worker_test);
+    CPPUNIT_TEST(wave_that_cannot_go_on_withholds_no_worker);
+    CPPUNIT_TEST(wave_beside_a_task_without_worker_withholds_none);
+    CPPUNIT_TEST_SUITE_END();
+
+    static void assert_no_violations(const fake_fleet& fleet) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(fleet.violations().empty() ? std::string()
+                                                                : fleet.violations().front(),
+                                     std::size_t{0}, fleet.violations().size());
+    }
+
+    static bool starts_in_time(fake_fleet& fleet, const std::string& id, const step_spec& step) {
+        fleet.accept("qa", id, one_step(step));
+        fleet.run_for(longest_wait);
+        return fleet.first_start({id, 0, 0, 0}) != 0;
+    }
+
+  public:
+    // Case review/11: both tasks of a step are on a VM of a wave, one may be away and no other
+    // worker may run them. One was stopped, and the worker got no run any more.
+    void wave_that_cannot_go_on_withholds_no_worker() {
+        fake_fleet fleet(one_pool(true));
+        fleet.run_for(2'500);
+        fleet.accept("qa", "lasting", one_step(labeled(make_long_running_step(2, 3'000, 1))));
+        fleet.run_for(2'000);
+        fleet.order_wave({1, {"m100", "m101", single_vm}, 20'000, 1});
+        fleet.run_for(22'000);
+        CPPUNIT_ASSERT_EQUAL(2, fleet.upkeeps());
+        CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "lasting"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, single_worker(fleet).runs.size());
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        assert_no_violations(fleet);
+    }
+
+    // As above with one task on the VM, and one whose worker was lost for good: it may start again
+    // only on the VM that its absence keeps from going down.
+    void wave_beside_a_task_without_worker_withholds_none() {
+        auto options = one_pool(true);
+        options.pools = {{"a", 6}};
+        fake_fleet fleet(options);
+        fleet.run_for(500); // no VM is in standby yet
+        auto step = labeled(make_long_running_step(2, 6'000, 1));
+        step.need.memory = 14'000;
+        fleet.accept("qa", "lasting", one_step(step));
+        fleet.run_for(2'000);
+        const auto other = fleet.vms().at("m105").worker;
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fleet.workers().at(other).runs.size());
+        fleet.lose_power(other, 600'000);
+        fleet.run_for(500); // the worker is silent, and its task is not assigned again yet
+        fleet.order_wave({1, {single_vm}, 3'000, 1});
+        fleet.run_for(9'000);
+        CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "lasting"));
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        assert_no_violations(fleet);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(withheld_worker_test);
+
+} // namespace
