A long-running step reserves room only of a worker that it may use

Cause: for each long-running step without room, reserve_room took the worker with the most free processor out of the round, whatever its label and max_per_worker, and whenever room would appear. Each waiting step closed one more worker. Ruled out: caps (none), reserve_ahead (steps without a label only).

Change: the step reserves room like short steps do, of a worker that it may use, from the time at which the room is expected; tasks that fit beside it or end before still start. At most a quarter of the pool, one worker at least. The room must be expected within 8 s; 2 s after that time the hold ends for 3 s. explain-placement counts such workers by the same rule.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -64,6 +64,7 @@
     smallest_needs_.clear();
     reservation_times_.clear();
     expected_room_.clear();
+    room_holds_.clear();
     advice_.clear();
     pending_advice_calls_ = 0;
     pending_decisions_ = {};
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -276,7 +276,7 @@
     void end_vanished_life(const vm_report& listed, time_ms asked_at, time_ms now);
     static void observe_staying(worker& item);
     bool is_starting(const ready_step& item) const;
-    static void reserve_room(const ready_step& item, std::vector<worker*>& pool);
+    void reserve_room(const ready_step& item, candidate_pool& pool, time_ms now);
     static time_ms expected_run_time(const step_spec& step, double rate);
     static time_ms latest_run_end(const ready_step& item, time_ms now);
     void reserve_ahead(const ready_step& item, std::uint32_t tasks,
@@ -284,6 +284,7 @@
     std::vector<worker*> find_reservable(const reservation_request& request,
                                          const std::string& pool_name, const candidate_pool& pool,
                                          time_ms now);
+    bool take_room_hold(const ready_step& item, time_ms begins_at, time_ms now);
     resources smallest_need(const std::vector<ready_step>& steps, const std::string& pool,
                             time_ms now);
     bool is_gang_startable(const ready_step& item) const;
@@ -353,6 +354,8 @@
     };
     std::map<std::string, smallest_waiting> smallest_needs_; // by pool
     reservation_times reservation_times_;
+    // Until when a long-running step holds room of a worker, and the pause after that.
+    std::map<step_key, time_ms> room_holds_;
     // When the steps with reservations in the last round are expected to have room.
     std::map<step_key, time_ms> expected_room_;
     // What the next lives of workers that were dropped may still carry out, by id.
--- a/src/workload/controller_explain.cpp
+++ b/src/workload/controller_explain.cpp
@@ -60,6 +60,7 @@
     request.job = item.owner->id;
     request.occurrence = item.occurrence;
     request.step_index = item.step;
+    request.ends_at = latest_run_end(item, now);
     std::vector<const worker*> workers;
     for (const auto& [id, one] : workers_) {
         if (one.pool == out.pool)
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -23,6 +23,11 @@
 constexpr std::int64_t wide_task_ratio = 2;
 // Searches of one round for workers to reserve in a pool. Each looks at all of its workers.
 constexpr std::size_t max_reservation_searches = 4;
+// A long-running step holds room only if it is expected within this time,
+constexpr time_ms max_room_wait{8'000};
+// and until it is later than expected by this much. Then it holds none for the pause.
+constexpr time_ms room_delay_limit{2'000};
+constexpr time_ms room_hold_pause{3'000};
 
 // Share of a worker's processor that a task takes if the worker holds only such tasks.
 std::int64_t effective_cpu(std::int64_t cpu, std::int64_t largest_cpu) {
@@ -145,6 +150,7 @@
     added.begun_before = !item.checkpoint.empty();
     added.checkpoint = item.checkpoint;
     target.add(std::move(added));
+    room_holds_.erase({id.job, id.occurrence, id.step});
     starting_.insert(id);
     ++counters_.placed_tasks;
     changed_jobs_.insert(id.job);
@@ -326,6 +332,8 @@
     expected_room_.clear();
     blocked_cpu_.clear();
     reservation_times_.drop_expired(now);
+    std::erase_if(room_holds_,
+                  [&](const auto& hold) { return now >= hold.second + room_hold_pause; });
     if (steps.empty())
         return;
     placement_round round;
@@ -378,7 +386,7 @@
         return;
     }
     if (item.long_running)
-        reserve_room(item, pool.workers);
+        reserve_room(item, pool, now);
     else if (settings_.placement != lookahead::best_fit)
         reserve_ahead(item, item.unplaced - static_cast<std::uint32_t>(placed), *round.steps, pool,
                       now);
@@ -474,23 +482,43 @@
     return out;
 }
 
-// Excludes the worker with the most free processor from short tasks in this round, so that enough
-// capacity becomes free for a long-running task.
-void controller::reserve_room(const ready_step& item, std::vector<worker*>& pool) {
-    const auto need = occupied_resources(item.owner->spec.steps[item.step]);
-    auto best = pool.end();
-    for (auto it = pool.begin(); it != pool.end(); ++it) {
-        // Only capacity used by short tasks becomes free.
-        auto possible = (*it)->capacity;
-        for (const auto& [key, run] : (*it)->runs)
-            possible -= run.long_running ? run.need : resources{};
-        if (!possible.can_fit(need) || (*it)->free().can_fit(need))
+// Reserves room for one task of a long-running step on the worker with the most free processor, for
+// the rest of the round. Load pattern: short tasks take any room of a full pool as soon as it is
+// free, so a task that needs half of a worker would never start.
+void controller::reserve_room(const ready_step& item, candidate_pool& pool, time_ms now) {
+    const auto max_reserved =
+        std::max<std::size_t>(1, pool.workers.size() / workers_per_reservation);
+    if (pool.reserved.size() >= max_reserved)
+        return;
+    placement_request request;
+    request.step = &item.owner->spec.steps[item.step];
+    request.job = item.owner->id;
+    request.occurrence = item.occurrence;
+    request.step_index = item.step;
+    const auto need = occupied_resources(*request.step);
+    worker* best = nullptr;
+    for (auto* candidate : pool.workers) {
+        if (candidate->free().can_fit(need) || pool.reserved.contains(candidate) ||
+            (best && best->free().cpu >= candidate->free().cpu))
             continue;
-        if (best == pool.end() || (*best)->free().cpu < (*it)->free().cpu)
-            best = it;
+        if (may_have_room(*candidate, request))
+            best = candidate;
     }
-    if (best != pool.end())
-        pool.erase(best);
+    if (!best)
+        return;
+    const auto room = forecast_room(*best, settings_.stop_time, now);
+    const auto begins_at = room.fits_at(need);
+    if (take_room_hold(item, begins_at, now))
+        pool.reserved[best] = {begins_at, room.free_at(begins_at) - need};
+}
+
+// True if a long-running step may hold room that is expected at `begins_at`. Bounds the time of a
+// hold, because a forecast may be wrong for good.
+bool controller::take_room_hold(const ready_step& item, time_ms begins_at, time_ms now) {
+    if (begins_at == never || begins_at - now > max_room_wait)
+        return false;
+    const step_key key{item.owner->id, item.occurrence, item.step};
+    return now < room_holds_.try_emplace(key, begins_at + room_delay_limit).first->second;
 }
 
 void controller::place_ready_step(const ready_step& item, candidate_pool& pool,
--- a/src/workload/explain.cpp
+++ b/src/workload/explain.cpp
@@ -9,10 +9,12 @@
                                   const candidate_pool& open, const placement_request& request,
                                   time_ms now) {
     const std::set<const worker*> choosable(open.workers.begin(), open.workers.end());
+    const auto need = occupied_resources(*request.step);
     exclusion_counts out{};
     for (const auto* item : workers) {
         auto why = find_exclusion(*item, request, now);
-        if (why == exclusion::none && !choosable.contains(item))
+        if (why == exclusion::none &&
+            (!choosable.contains(item) || !open.allows(item, need, request.ends_at)))
             why = exclusion::reservation;
         ++out.at(static_cast<std::size_t>(why));
     }
--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -158,6 +158,18 @@
     return out;
 }
 
+bool may_have_room(const worker& candidate, const placement_request& request) {
+    const auto& step = *request.step;
+    if (!has_label(candidate, step.required_label))
+        return false;
+    auto possible = candidate.capacity;
+    for (const auto& [key, run] : candidate.runs)
+        possible -= run.long_running ? run.need : resources{};
+    return possible.can_fit(occupied_resources(step)) &&
+           (step.max_per_worker == 0 ||
+            count_runs(candidate, request).of_step < step.max_per_worker);
+}
+
 bool accepts_runs(const worker& candidate, time_ms now) {
     return find_run_exclusion(candidate, now) == exclusion::none;
 }
--- a/src/workload/placement.h
+++ b/src/workload/placement.h
@@ -89,7 +89,7 @@
     upkeep_room, // its room is kept for tasks that leave VMs due for maintenance
     label,
     max_per_worker,
-    reservation, // its room is kept for a long-running task that waits
+    reservation, // its room is kept for a task that waits
     forgets_ends // it may forget the end of the task; see worker::may_forget_ends
 };
 
@@ -106,6 +106,10 @@
 // Why a worker may not be given a task of the requested step now.
 exclusion find_exclusion(const worker& candidate, const placement_request& request, time_ms now);
 
+// True if a worker may run one more task of the requested step as soon as its short runs have
+// ended.
+bool may_have_room(const worker& candidate, const placement_request& request);
+
 // True if a worker may be given new runs now.
 bool accepts_runs(const worker& candidate, time_ms now);
 
--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST_SUITE(withheld_worker_test);
     CPPUNIT_TEST(wave_that_cannot_go_on_withholds_no_worker);
     CPPUNIT_TEST(wave_beside_a_task_without_worker_withholds_none);
+    CPPUNIT_TEST(waiting_step_withholds_no_worker_that_it_may_not_use);
+    CPPUNIT_TEST(waiting_step_leaves_room_beside_its_own);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -100,6 +102,53 @@
         CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
         assert_no_violations(fleet);
     }
+
+    // Case review/12: long-running steps wait for the only worker of a kind, which was lost. Each
+    // of them took another worker out of the pool, until all that were at work were out.
+    void waiting_step_withholds_no_worker_that_it_may_not_use() {
+        for (const bool by_label : {true, false}) {
+            fake_fleet fleet(one_pool(false));
+            fleet.run_for(2'500);
+            if (by_label)
+                fleet.lose_power(single_worker(fleet).ref.id, 600'000);
+            auto waiting = make_long_running_step(1, 1'000, 0);
+            waiting.need.memory = 30'000;
+            if (by_label)
+                waiting.required_label = single_rack;
+            else
+                waiting.max_per_worker = 1;
+            // Memory that only a long-running task beside which no other fits leaves free.
+            auto long_step = make_step(5, 2'000, 60'000);
+            long_step.need.memory = 4'000;
+            long_step.max_per_worker = 1;
+            fleet.accept("qa", "long", one_step(long_step));
+            fleet.run_for(1'000);
+            for (int i = 0; i < 6; ++i)
+                fleet.accept("qa", "waiting" + std::to_string(i), one_step(waiting));
+            fleet.run_for(1'000);
+            CPPUNIT_ASSERT(starts_in_time(fleet, "short", make_step(1, 1'000, 500)));
+            CPPUNIT_ASSERT(starts_in_time(fleet, "small", make_long_running_step(1, 1'000, 0)));
+            assert_no_violations(fleet);
+        }
+    }
+
+    // The worker on which a long-running step waits for room was closed to tasks that fit beside
+    // it, or that end before the room appears.
+    void waiting_step_leaves_room_beside_its_own() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        auto running = labeled(make_step(1, 8'000, 6'000));
+        running.need.memory = 10'000;
+        fleet.accept("qa", "running", one_step(running));
+        fleet.run_for(1'000);
+        fleet.accept("qa", "waiting", one_step(labeled(make_long_running_step(1, 10'000, 0))));
+        fleet.run_for(500);
+        CPPUNIT_ASSERT(starts_in_time(fleet, "beside", labeled(make_step(1, 4'000, 20'000))));
+        CPPUNIT_ASSERT(starts_in_time(fleet, "brief", labeled(make_step(1, 4'000, 200))));
+        fleet.run_for(6'000);
+        CPPUNIT_ASSERT(fleet.first_start({"waiting", 0, 0, 0}) != 0);
+        assert_no_violations(fleet);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withheld_worker_test);
