Probation does not wait for a long-running task to end

Cause: a worker on probation got a run only while it had none, and only an end as done ends the probation. A long-running task is a run and never ends as done. Ruled out: the quarantine, which ends by the time.

Change: only a run that has not shown yet whether the worker is sound keeps the next one away: a long-running task until it is at work, and any run for 2 s at most. Probation still ends by a success, so a worker that fails everything gets one run at a time.

--- a/src/workload/placement.cpp
+++ b/src/workload/placement.cpp
@@ -144,7 +144,7 @@
         return exclusion::silent;
     if (now < candidate.health.quarantined_until)
         return exclusion::quarantined;
-    if (candidate.health.on_probation && !candidate.runs.empty())
+    if (candidate.awaits_probation_run(now))
         return exclusion::on_probation;
     return exclusion::none;
 }
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -9,9 +9,21 @@
 
 // Longer than a start can be carried out and its run last under any lease in use.
 constexpr time_ms loose_start_retention{60'000};
+constexpr int at_work_percent = 100;
 
 } // namespace
 
+bool live_run::is_unproven(time_ms now) const {
+    const bool at_work = long_running && stage == run_stage::listed && percent >= at_work_percent;
+    return !at_work && now - since < probation_interval;
+}
+
+bool worker::awaits_probation_run(time_ms now) const {
+    return health.on_probation && std::ranges::any_of(runs, [&](const auto& item) {
+               return item.second.is_unproven(now);
+           });
+}
+
 bool worker::lease_expired(time_ms now) const {
     if (now < inherited_lease_end)
         return false;
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -22,6 +22,9 @@
 // Lowest rate of a worker's clock relative to the local one.
 inline constexpr double min_clock_rate = 0.98;
 
+// A worker on probation that neither completes nor fails its run gets the next one after this time.
+inline constexpr time_ms probation_interval{2'000};
+
 // From this many workers on, answers and decisions are batched for some ms, because each costs
 // more.
 inline constexpr std::size_t large_fleet_workers = 100;
@@ -81,6 +84,9 @@
     bool may_begin_in_next_life() const {
         return open_starts > 0 || inherited || stage == run_stage::confirmed;
     }
+    // True if the run has not shown yet whether its worker is sound. A long-running task never ends
+    // as done, so it counts as sound once it is at work.
+    bool is_unproven(time_ms now) const;
 };
 
 using run_key = std::pair<task_id, std::uint32_t>;
@@ -99,7 +105,7 @@
     std::string last_failed_job;
     time_ms quarantined_until{0}; // no new runs before this time
     time_ms quarantine_time{0};   // length of the last quarantine
-    bool on_probation = false;    // one run at a time until one succeeds
+    bool on_probation = false;    // new runs only one by one until one succeeds
 };
 
 struct worker {
@@ -174,6 +180,8 @@
     // True if an acknowledgement for a former life may still arrive: this life would forget ends of
     // its own that it has not listed.
     bool may_forget_ends(time_ms now) const;
+    // True if a worker on probation has a run whose outcome it has to await.
+    bool awaits_probation_run(time_ms now) const;
     // End of a lease granted now, on the worker's clock.
     time_ms lease_to_grant(time_ms now) const;
     live_run* find(const task_id& task, std::uint32_t run);
--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -13,6 +13,8 @@
 
 // The users' bound: a job that could run has nothing running for this long.
 constexpr time_ms longest_wait{3'000};
+// Longest quarantine of a worker.
+constexpr time_ms max_quarantine{8'000};
 // Only one worker of pool a is on this rack, so that jobs with the label have no other choice.
 constexpr const char* single_rack = "r1";
 constexpr const char* single_vm = "m104";
@@ -50,6 +52,9 @@
     CPPUNIT_TEST(wave_beside_a_task_without_worker_withholds_none);
     CPPUNIT_TEST(waiting_step_withholds_no_worker_that_it_may_not_use);
     CPPUNIT_TEST(waiting_step_leaves_room_beside_its_own);
+    CPPUNIT_TEST(probation_ends_beside_a_long_running_task);
+    CPPUNIT_TEST(long_running_tasks_start_on_a_worker_on_probation);
+    CPPUNIT_TEST(worker_on_probation_gets_runs_one_by_one);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -149,6 +154,61 @@
         CPPUNIT_ASSERT(fleet.first_start({"waiting", 0, 0, 0}) != 0);
         assert_no_violations(fleet);
     }
+
+    // Lets jobs that only the worker may run fail on it until it is quarantined.
+    static void quarantine(fake_fleet& fleet) {
+        single_worker(fleet).fails_all = true;
+        for (int i = 0; i < 4; ++i)
+            fleet.accept("qa", "failing" + std::to_string(i),
+                         one_step(labeled(make_step(1, 1'000, 300))));
+        fleet.run_for(2'000);
+        CPPUNIT_ASSERT(fleet.control().counters().quarantined_workers > 0);
+        for (int i = 0; i < 4; ++i)
+            fleet.cancel("failing" + std::to_string(i));
+        single_worker(fleet).fails_all = false;
+        fleet.run_for(max_quarantine);
+    }
+
+    // Case review/13: a worker on probation gets one run at a time. A long-running task took that
+    // place and never ends as done, so that no run could end the probation.
+    void probation_ends_beside_a_long_running_task() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        fleet.accept("qa", "lasting", one_step(labeled(make_long_running_step(1, 3'000, 0))));
+        fleet.run_for(1'000);
+        quarantine(fleet);
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        // The success has ended the probation.
+        fleet.accept("qa", "wide", one_step(labeled(make_step(6, 1'000, 2'000))));
+        fleet.run_for(500);
+        CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "wide"));
+        assert_no_violations(fleet);
+    }
+
+    // Without short jobs no run ends as done, so that the second task never started.
+    void long_running_tasks_start_on_a_worker_on_probation() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        quarantine(fleet);
+        fleet.accept("qa", "lasting", one_step(labeled(make_long_running_step(3, 3'000, 0))));
+        fleet.run_for(longest_wait);
+        CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "lasting"));
+        assert_no_violations(fleet);
+    }
+
+    // All runs at once would fail on a worker that is still faulty, and a run of minutes must not
+    // keep the others away until it ends.
+    void worker_on_probation_gets_runs_one_by_one() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        quarantine(fleet);
+        fleet.accept("qa", "long", one_step(labeled(make_step(4, 1'000, 60'000))));
+        fleet.run_for(probation_interval - 500);
+        CPPUNIT_ASSERT_EQUAL(3U, waiting_tasks(fleet, "long"));
+        fleet.run_for(3 * probation_interval + 500);
+        CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "long"));
+        assert_no_violations(fleet);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withheld_worker_test);
