Runs that the controller has paused are not stalled

Cause: a run without a new percent for 2 s counts as stalled, also if the controller had ordered it to work at 0 percent. Three such runs put the sound worker on probation. Ruled out: the length of the stall time, because a paused run makes no progress at all.

Change: time counts towards a stall only by the share that the run was allowed, and lists while it is paused do not count. A pace that is not known, after an order without an answer or a change of the leader, counts as paused and is ordered again until an order is confirmed that no earlier one can overtake. Before, a new leader took paused runs for unpaced ones and never let them go on.

The fake fleet now carries out orders about the pace and reports tail latencies.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -121,6 +121,8 @@
                     run.best_effort = item.spec.steps[s].best_effort;
                     run.target_tail_latency = item.spec.steps[s].target_tail_latency;
                     run.inherited = true;
+                    if (run.best_effort)
+                        run.assume_paused();
                     run.stage = run_stage::ordered;
                     run.since = now;
                     run.expected_time =
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -219,6 +219,7 @@
     void mark_lost(worker& target, const run_key& key, const char* reason);
     void record_acknowledgement(worker& from, const worker_lists& lists);
     void resolve_listed(worker& from, const worker_lists& lists, time_ms sent_at, time_ms now);
+    static void note_progress(live_run& run, int percent, time_ms now);
     void resolve_absent(worker& from, const worker_lists& lists, time_ms sent_at);
     void record_ends(worker& from, const worker_lists& lists, time_ms now);
     void pace_best_effort_runs(worker& target, time_ms now);
--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -24,6 +24,9 @@
 // A run without progress for this long, over several lists, is stalled.
 constexpr time_ms stall_time{2'000};
 constexpr int min_lists_without_progress = 3;
+constexpr int full_pace = 100;
+// An unclear pace is ordered again after this time.
+constexpr time_ms pace_retry{1'000};
 // Consecutive failed runs of different jobs after which a worker is quarantined.
 constexpr int failures_before_quarantine = 3;
 constexpr time_ms min_quarantine_time{1'500};
@@ -166,6 +169,8 @@
             });
             if (known != from.loose_starts.end())
                 added.charge = known->charge;
+            if (added.best_effort)
+                added.assume_paused();
             added.unexpected = !is_current(from, added);
             run = &from.add(std::move(added));
             from.review_due = true;
@@ -179,25 +184,33 @@
             run->stage = run_stage::listed;
             run->inherited = false;
             from.review_due = from.review_due || from.draining;
-            run->progress_at = now;
+            run->progress_at = run->listed_at = now;
             if (run->confirmed_at == 0)
                 run->confirmed_at = sent_at;
         }
-        if (item.percent > run->percent) {
-            run->percent = item.percent;
-            run->progress_at = now;
-            run->lists_without_progress = 0;
-        } else {
-            if (++run->lists_without_progress >= min_lists_without_progress && !run->long_running)
-                from.review_due = true;
-            run->percent = item.percent;
-        }
+        note_progress(*run, item.percent, now);
+        if (run->lists_without_progress >= min_lists_without_progress && !run->long_running)
+            from.review_due = true;
         if (!item.checkpoint.empty())
             run->checkpoint = item.checkpoint;
         run->load = item.load;
     }
 }
 
+// A run that pacing holds back makes no progress, which says nothing about the worker.
+void controller::note_progress(live_run& run, int percent, time_ms now) {
+    const auto since_list = now - std::exchange(run.listed_at, now);
+    if (percent > run.percent) {
+        run.progress_at = now;
+        run.throttled = 0;
+        run.lists_without_progress = 0;
+    } else {
+        run.throttled += since_list * (full_pace - run.known_pace()) / full_pace;
+        run.lists_without_progress += run.known_pace() > 0 ? 1 : 0;
+    }
+    run.percent = percent;
+}
+
 void controller::record_ends(worker& from, const worker_lists& lists, time_ms now) {
     for (const auto& item : lists.ended) {
         if (item.number <= from.last_logged)
@@ -276,7 +289,10 @@
         if (!run.best_effort || run.stage != run_stage::listed || run.pace_under_way ||
             run.stop_wanted)
             continue;
-        const auto next = next_pace(run.pace, worst, now - target.tail_high_at);
+        auto next = next_pace(run.pace, worst, now - target.tail_high_at);
+        if (!next && run.pace_unclear && is_pace_certain(worst) &&
+            now - run.pace_sent_at >= pace_retry)
+            next = run.pace;
         if (!next)
             continue;
         log_event(log_level::info, "best_effort_run_paced")
@@ -286,6 +302,7 @@
             .field("percent", *next)
             .field("tail_ratio", worst);
         run.pace_under_way = true;
+        run.pace_sent_at = now;
         pending_decisions_.orders.emplace_back(
             pace_order{target.ref, target.address, run.task, run.run, *next, fence_});
     }
@@ -415,14 +432,21 @@
     }
 }
 
-void controller::observe(const pace_order& order, order_answer answer, time_ms) {
+// An order without an answer may be carried out after later ones. The pace stays unclear until it
+// can arrive no more and a later one is confirmed.
+void controller::observe(const pace_order& order, order_answer answer, time_ms now) {
     auto* target = find_answering_worker(order.worker, order.fence, answer);
     auto* run = target ? target->find(order.task, order.run) : nullptr;
     if (!run)
         return;
     run->pace_under_way = false;
-    if (answer == order_answer::done)
+    if (answer == order_answer::done) {
         run->pace = order.percent;
+        run->pace_unclear = run->pace_unclear && run->pace_sent_at < run->pace_open_until;
+    } else if (answer == order_answer::no_answer) {
+        run->pace_unclear = true;
+        run->pace_open_until = now + max_order_delay;
+    }
 }
 
 std::vector<order> controller::committed(const decisions& done, const std::vector<bool>& accepted,
@@ -541,7 +565,7 @@
     }
     if (!run.stop_wanted && !run.long_running && run.stage == run_stage::listed &&
         run.lists_without_progress >= min_lists_without_progress &&
-        now - run.progress_at > stall_time) {
+        run.active_without_progress(now) > stall_time) {
         ++counters_.stalled_runs;
         log_event(log_level::warning, "run_stalled")
             .field("job", run.task.job)
--- a/src/workload/pacing.cpp
+++ b/src/workload/pacing.cpp
@@ -28,6 +28,10 @@
     return next == pace ? std::nullopt : std::optional<int>(next);
 }
 
+bool is_pace_certain(double worst) {
+    return worst < raise_tail_ratio || worst >= tail_ratio_limit;
+}
+
 double worst_tail_ratio(const worker& target) {
     double worst = 0;
     for (const auto& [key, run] : target.runs) {
--- a/src/workload/pacing.h
+++ b/src/workload/pacing.h
@@ -22,6 +22,9 @@
 // `time_below_limit` the time since that ratio was last too high.
 std::optional<int> next_pace(int pace, double worst, time_ms time_below_limit);
 
+// False while a worker's tail ratio neither lowers nor raises the share of best-effort runs.
+bool is_pace_certain(double worst);
+
 // Highest ratio of tail latency to target among the runs on a worker; 0 if none has a target.
 double worst_tail_ratio(const worker& target);
 
--- a/src/workload/worker_table.cpp
+++ b/src/workload/worker_table.cpp
@@ -10,6 +10,7 @@
 // Longer than a start can be carried out and its run last under any lease in use.
 constexpr time_ms loose_start_retention{60'000};
 constexpr int at_work_percent = 100;
+constexpr int full_pace = 100;
 
 } // namespace
 
@@ -18,6 +19,10 @@
     return !at_work && now - since < probation_interval;
 }
 
+time_ms live_run::active_without_progress(time_ms now) const {
+    return listed_at - progress_at - throttled + (now - listed_at) * known_pace() / full_pace;
+}
+
 bool worker::awaits_probation_run(time_ms now) const {
     return health.on_probation && std::ranges::any_of(runs, [&](const auto& item) {
                return item.second.is_unproven(now);
--- a/src/workload/worker_table.h
+++ b/src/workload/worker_table.h
@@ -70,12 +70,18 @@
 
     std::uint64_t last_list = 0; // number of the worker's latest list that has the run; 0 if none
     int percent = 0;
-    time_ms progress_at{0}; // when `percent` last rose
-    int lists_without_progress = 0;
+    time_ms listed_at{0};           // when the worker's latest list with the run came
+    time_ms progress_at{0};         // when `percent` last rose
+    time_ms throttled{0};           // time since `progress_at` that pacing has taken from it
+    int lists_without_progress = 0; // while it was not paused
     std::string checkpoint;
     std::int64_t load = 0;
     int pace = 100;
     bool pace_under_way = false;
+    bool pace_unclear = false;  // an order without an answer, or of an earlier leader, may have
+                                // changed it
+    time_ms pace_open_until{0}; // such an order may arrive until then
+    time_ms pace_sent_at{0};
     time_ms target_tail_latency{0}; // 0 if none
 
     // True unless the run is known to have begun in the life that it was ordered for. Its start may
@@ -87,6 +93,15 @@
     // True if the run has not shown yet whether its worker is sound. A long-running task never ends
     // as done, so it counts as sound once it is at work.
     bool is_unproven(time_ms now) const;
+    // For a run that another leader may have paused.
+    void assume_paused() {
+        pace = 0;
+        pace_unclear = true;
+    }
+    // Share of the processor that the run is known to be allowed, in percent.
+    int known_pace() const { return pace_unclear ? 0 : pace; }
+    // Time since its last progress, as if it had run at full pace.
+    time_ms active_without_progress(time_ms now) const;
 };
 
 using run_key = std::pair<task_id, std::uint32_t>;
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -25,6 +25,9 @@
     resources need;
     time_ms stop_at{0}; // end of a stop in progress; 0 if none
     bool fails = false;
+    bool best_effort = false;
+    int pace = 100;
+    time_ms paused{0}; // time that its pace has taken from it
 };
 
 struct fake_worker {
@@ -40,6 +43,8 @@
     bool draining = false;
     bool fails_all = false;
     bool stalls_all = false;
+    std::int64_t tail = 0;          // tail latency of its long-running tasks
+    bool pace_answers_lost = false; // pace orders are carried out without an answer
     time_ms started_at{0};
     double clock_rate = 1.0;
     std::uint64_t sequence = 0;
--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -55,6 +55,10 @@
     CPPUNIT_TEST(probation_ends_beside_a_long_running_task);
     CPPUNIT_TEST(long_running_tasks_start_on_a_worker_on_probation);
     CPPUNIT_TEST(worker_on_probation_gets_runs_one_by_one);
+    CPPUNIT_TEST(paused_runs_are_not_stalled);
+    CPPUNIT_TEST(runs_paused_by_the_former_leader_go_on);
+    CPPUNIT_TEST(unanswered_pause_is_no_stall);
+    CPPUNIT_TEST(paced_runs_that_stand_still_are_stalled);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -209,6 +213,96 @@
         CPPUNIT_ASSERT_EQUAL(0U, waiting_tasks(fleet, "long"));
         assert_no_violations(fleet);
     }
+
+    // Starts a task that serves users, and four best-effort tasks of 12 s beside it.
+    static void start_best_effort_tasks(fake_fleet& fleet) {
+        fleet.run_for(2'500);
+        auto serving = labeled(make_long_running_step(1, 3'000, 0));
+        serving.target_tail_latency = 200;
+        fleet.accept("qa", "serving", one_step(serving));
+        fleet.run_for(1'000);
+        auto filling = labeled(make_step(1, 2'000, 12'000));
+        filling.best_effort = true;
+        for (int i = 0; i < 4; ++i)
+            fleet.accept("qa", "filling" + std::to_string(i), one_step(filling));
+        fleet.run_for(1'000);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{5}, single_worker(fleet).runs.size());
+    }
+
+    static int lowest_pace(fake_fleet& fleet) {
+        int out = 100;
+        for (const auto& run : single_worker(fleet).runs)
+            out = std::min(out, run.pace);
+        return out;
+    }
+
+    static void assert_best_effort_tasks_end(fake_fleet& fleet) {
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.control().counters().stalled_runs);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, fleet.control().counters().quarantined_workers);
+        const auto& ends = fleet.control().counters().ends;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, ends.at(static_cast<std::size_t>(run_end::stopped)));
+        for (int i = 0; i < 4; ++i)
+            CPPUNIT_ASSERT(fleet.table().find_job("filling" + std::to_string(i))->state ==
+                           job_state::completed);
+        assert_no_violations(fleet);
+    }
+
+    // Case review/14: best-effort runs that were paused beside a high tail latency made no
+    // progress, so they were stopped, and their worker was quarantined.
+    void paused_runs_are_not_stalled() {
+        fake_fleet fleet(one_pool(false));
+        start_best_effort_tasks(fleet);
+        single_worker(fleet).tail = 300;
+        fleet.run_for(4'000);
+        CPPUNIT_ASSERT_EQUAL(0, lowest_pace(fleet));
+        single_worker(fleet).tail = 50;
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        fleet.run_for(17'000);
+        assert_best_effort_tasks_end(fleet);
+    }
+
+    // The next leader took the runs for unpaced ones: it did not let them go on, and found them
+    // stalled.
+    void runs_paused_by_the_former_leader_go_on() {
+        fake_fleet fleet(one_pool(false));
+        start_best_effort_tasks(fleet);
+        single_worker(fleet).tail = 300;
+        fleet.run_for(1'000);
+        CPPUNIT_ASSERT_EQUAL(0, lowest_pace(fleet));
+        fleet.replace_leader(0);
+        single_worker(fleet).tail = 50;
+        fleet.run_for(20'000);
+        assert_best_effort_tasks_end(fleet);
+    }
+
+    // A pause that is carried out without an answer holds a run back as well.
+    void unanswered_pause_is_no_stall() {
+        fake_fleet fleet(one_pool(false));
+        start_best_effort_tasks(fleet);
+        single_worker(fleet).pace_answers_lost = true;
+        single_worker(fleet).tail = 300;
+        fleet.run_for(500);
+        single_worker(fleet).tail = 150; // neither paused further nor raised
+        fleet.run_for(6'000);
+        single_worker(fleet).pace_answers_lost = false;
+        single_worker(fleet).tail = 50;
+        fleet.run_for(20'000);
+        assert_best_effort_tasks_end(fleet);
+    }
+
+    // The allowance for pacing must not hide a worker on which nothing goes on.
+    void paced_runs_that_stand_still_are_stalled() {
+        fake_fleet fleet(one_pool(false));
+        start_best_effort_tasks(fleet);
+        single_worker(fleet).tail = 180;
+        while (lowest_pace(fleet) == 100)
+            fleet.run_for(5);
+        single_worker(fleet).tail = 150; // neither paused further nor raised
+        single_worker(fleet).stalls_all = true;
+        fleet.run_for(30'000);
+        CPPUNIT_ASSERT(fleet.control().counters().stalled_runs > 0);
+        assert_no_violations(fleet);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withheld_worker_test);
