A step that its cap can't admit does not hold back its workspace

Callers would see: with a long-running task at work and a second one that does not fit beside it under the cap, all other jobs of the workspace are accepted and never started, although most of the cap is unused.

Cause: once a cap holds a step back, the room under the cap that becomes free is left to that step. Nothing becomes free beside long-running tasks, and other runs may take minutes to end.

Change: the room is kept only if the cap will admit the step once all other runs than long-running ones have ended, and for 8 s; then the others run for 1 s at least.

Evidence: workspace_account_test::task_that_no_cap_admits_holds_back_no_others fails on the code before and passes now.

--- a/src/workload/controller.cpp
+++ b/src/workload/controller.cpp
@@ -63,6 +63,7 @@
     rooms_.clear();
     smallest_needs_.clear();
     reservation_times_.clear();
+    cap_hold_times_.clear();
     expected_room_.clear();
     room_holds_.clear();
     advice_.clear();
--- a/src/workload/controller.h
+++ b/src/workload/controller.h
@@ -260,6 +260,7 @@
                          explained_job& explained, time_ms now);
     candidate_pool& pool_in(placement_round& round, const ready_step& item) const;
     bool is_held_by_cap(const ready_step& item) const;
+    void hold_workspace(const ready_step& item, placement_round& round, time_ms now);
     std::map<std::string, pool_load> measure_loads() const;
     std::map<std::string, pool_demand> measure_demand(time_ms now);
     std::map<std::string, std::vector<waiting_step>> waiting_steps(time_ms wall);
@@ -355,6 +356,8 @@
     };
     std::map<std::string, smallest_waiting> smallest_needs_; // by pool
     reservation_times reservation_times_;
+    // Of steps that a cap holds back: how long they keep the room under it for themselves.
+    reservation_times cap_hold_times_{max_cap_hold, cap_hold_pause};
     // Until when a long-running step holds room of a worker, and the pause after that.
     std::map<step_key, time_ms> room_holds_;
     // When the steps with reservations in the last round are expected to have room.
--- a/src/workload/controller_place.cpp
+++ b/src/workload/controller_place.cpp
@@ -327,11 +327,22 @@
     return !account_->allows(item.owner->workspace, spec.gang ? spec.need * spec.count : spec.need);
 }
 
+// Keeps the room under a cap that becomes free for a step that the cap holds back. No room becomes
+// free beside long-running tasks, and other runs may take minutes to end.
+void controller::hold_workspace(const ready_step& item, placement_round& round, time_ms now) {
+    const auto& spec = item.owner->spec.steps[item.step];
+    const auto need = spec.gang ? spec.need * spec.count : spec.need;
+    if (account_->allows_later(item.owner->workspace, need) &&
+        cap_hold_times_.take(item.owner->id, item.occurrence, item.step, now))
+        round.held_workspaces.insert(item.owner->workspace);
+}
+
 void controller::place(time_ms now, time_ms wall, explained_job* explained) {
     const auto steps = ready_steps(now, wall);
     expected_room_.clear();
     blocked_cpu_.clear();
     reservation_times_.drop_expired(now);
+    cap_hold_times_.drop_expired(now);
     std::erase_if(room_holds_,
                   [&](const auto& hold) { return now >= hold.second + room_hold_pause; });
     if (steps.empty())
@@ -358,10 +369,8 @@
 void controller::place_in_turn(const ready_step& item, placement_round& round, time_ms now) {
     if (!item.long_running && round.held_workspaces.contains(item.owner->workspace))
         return;
-    if (is_held_by_cap(item)) {
-        round.held_workspaces.insert(item.owner->workspace);
-        return;
-    }
+    if (is_held_by_cap(item))
+        return hold_workspace(item, round, now);
     auto& pool = pool_in(round, item);
     if (round.sorted.insert(&pool).second)
         pool.sort();
@@ -381,10 +390,8 @@
     const auto placed = counters_.placed_tasks - placed_before;
     if (placed >= item.unplaced)
         return;
-    if (is_held_by_cap(item)) {
-        round.held_workspaces.insert(item.owner->workspace);
-        return;
-    }
+    if (is_held_by_cap(item))
+        return hold_workspace(item, round, now);
     if (item.long_running)
         reserve_room(item, pool, now);
     else if (settings_.placement != lookahead::best_fit)
--- a/src/workload/room_forecast.cpp
+++ b/src/workload/room_forecast.cpp
@@ -169,14 +169,13 @@
 bool reservation_times::take(const std::string& job, std::uint32_t occurrence, std::uint32_t step,
                              time_ms now) {
     auto& first = first_.try_emplace({job, occurrence, step}, now).first->second;
-    if (now - first >= 2 * max_reservation_time)
+    if (now - first >= longest_ + pause_)
         first = now;
-    return now - first < max_reservation_time;
+    return now - first < longest_;
 }
 
 void reservation_times::drop_expired(time_ms now) {
-    std::erase_if(first_,
-                  [&](const auto& item) { return now - item.second >= 2 * max_reservation_time; });
+    std::erase_if(first_, [&](const auto& item) { return now - item.second >= longest_ + pause_; });
 }
 
 } // namespace clementine::workload
--- a/src/workload/room_forecast.h
+++ b/src/workload/room_forecast.h
@@ -19,6 +19,9 @@
 inline constexpr time_ms never = std::numeric_limits<time_ms>::max();
 // Longest time for which a step holds reservations; after that it gets none for as long.
 inline constexpr time_ms max_reservation_time{3'000};
+// The same for room under the cap of a workspace, which is kept for a step that does not fit.
+inline constexpr time_ms max_cap_hold{8'000};
+inline constexpr time_ms cap_hold_pause{1'000};
 // Workers of a pool whose room is forecast: those with the most free processor. Bounds the cost of
 // a forecast in large pools; those of the deployments have up to 85 workers.
 inline constexpr std::size_t max_forecast_workers = 128;
@@ -107,12 +110,19 @@
 // Limits how long a step holds reservations, so that a wrong forecast cannot hold a pool.
 class reservation_times {
   public:
+    // A step holds reservations for up to `longest`, and then none for `pause`.
+    explicit reservation_times(time_ms longest = max_reservation_time,
+                               time_ms pause = max_reservation_time)
+        : longest_(longest), pause_(pause) {}
+
     // True if the step may hold reservations now, which begins its time if that is not running.
     bool take(const std::string& job, std::uint32_t occurrence, std::uint32_t step, time_ms now);
     void drop_expired(time_ms now);
     void clear() { first_.clear(); }
 
   private:
+    time_ms longest_;
+    time_ms pause_;
     std::map<std::tuple<std::string, std::uint32_t, std::uint32_t>, time_ms> first_;
 };
 
--- a/src/workload/workspace_account.cpp
+++ b/src/workload/workspace_account.cpp
@@ -60,13 +60,17 @@
 workspace_account::workspace_account(const configuration& config) {
     entries_.reserve(config.workspaces.size());
     for (const auto& item : config.workspaces)
-        entries_.emplace(item.name, entry{item.weight, item.cap, {}, {}, false});
+        entries_.emplace(item.name, entry{item.weight, item.cap, {}, {}, {}, false});
 }
 
 void workspace_account::add(const worker& item, time_ms now, time_ms granted_lease) {
     capacity_ += item.capacity;
-    for (const auto& [key, run] : item.runs)
+    for (const auto& [key, run] : item.runs) {
         add(run.charge.workspace, run.charge.need);
+        const auto owner = run.long_running ? entries_.find(run.charge.workspace) : entries_.end();
+        if (owner != entries_.end())
+            owner->second.long_running += run.charge.need;
+    }
     for (const auto& start : item.loose_starts) {
         if (item.may_be_carried_out(start, now, granted_lease) &&
             !item.runs.contains({start.task, start.run}))
@@ -96,6 +100,11 @@
     return it == entries_.end() || is_within_cap(it->second.use + need, it->second.cap);
 }
 
+bool workspace_account::allows_later(const std::string& workspace, const resources& need) const {
+    const auto it = entries_.find(workspace);
+    return it == entries_.end() || is_within_cap(it->second.long_running + need, it->second.cap);
+}
+
 std::int64_t workspace_account::add_blocked(const std::string& workspace, const resources& need,
                                             std::int64_t count) {
     const auto it = entries_.find(workspace);
--- a/src/workload/workspace_account.h
+++ b/src/workload/workspace_account.h
@@ -48,6 +48,8 @@
 
     // True if a task may start, or the whole of a gang, under the cap of its workspace.
     bool allows(const std::string& workspace, const resources& need) const;
+    // True if the cap will admit them once all other runs than long-running ones have ended.
+    bool allows_later(const std::string& workspace, const resources& need) const;
     // Records `count` tasks that wait for room. Returns how many of them the cap would admit beside
     // those recorded before.
     std::int64_t add_blocked(const std::string& workspace, const resources& need,
@@ -61,7 +63,8 @@
         double weight = 1;
         resources cap;
         resources use;
-        resources blocked; // of tasks that wait for room and that the cap admits
+        resources long_running; // part of `use`
+        resources blocked;      // of tasks that wait for room and that the cap admits
         bool active = false;
     };
 
--- a/tests/workload/workspace_account_test.cpp
+++ b/tests/workload/workspace_account_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(no_cap_is_exceeded_on_random_days);
     CPPUNIT_TEST(lowered_cap_stops_no_run_and_admits_none);
     CPPUNIT_TEST(small_tasks_keep_a_wide_one_from_its_cap);
+    CPPUNIT_TEST(task_that_no_cap_admits_holds_back_no_others);
     CPPUNIT_TEST(gang_waits_until_all_of_it_fits_under_the_cap);
     CPPUNIT_TEST(job_that_no_cap_admits_is_refused_at_once);
     CPPUNIT_TEST(work_held_back_by_a_cap_moves_no_vms);
@@ -153,6 +154,27 @@
         assert_no_violations(fleet);
     }
 
+    // A task that fits under the cap only once a long-running one ends, or a task of a minute, kept
+    // all others of its workspace waiting, although most of the cap was unused.
+    void task_that_no_cap_admits_holds_back_no_others() {
+        for (const bool lasts : {true, false}) {
+            fake_fleet fleet({});
+            fleet.set_workspaces({make_workspace("x", 10'000)});
+            fleet.run_for(3'000);
+            fleet.accept(
+                "qa", id_of(1),
+                one_step(lasts ? make_long_running_step(1, 4'000, 0) : make_step(1, 4'000, 60'000)),
+                "x");
+            fleet.run_for(1'000);
+            fleet.accept("qa", id_of(2), one_step(make_long_running_step(1, 8'000, 0)), "x");
+            fleet.run_for(lasts ? 100 : max_cap_hold);
+            fleet.accept("qa", id_of(3), one_step(make_step(1, 1'000, 500)), "x");
+            fleet.run_for(3'000);
+            CPPUNIT_ASSERT(fleet.first_start({id_of(3), 0, 0, 0}) != 0);
+            assert_no_violations(fleet);
+        }
+    }
+
     void gang_waits_until_all_of_it_fits_under_the_cap() {
         fake_fleet fleet({});
         fleet.set_workspaces({make_workspace("x", 6'000)});
