Tests that states which withhold a worker end in time

A test for each state of find_run_exclusion and find_exclusion that had none: silent, leaving, reserved for an order that is declined, kept room, quarantine, forgotten ends.

--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -59,6 +59,11 @@
     CPPUNIT_TEST(runs_paused_by_the_former_leader_go_on);
     CPPUNIT_TEST(unanswered_pause_is_no_stall);
     CPPUNIT_TEST(paced_runs_that_stand_still_are_stalled);
+    CPPUNIT_TEST(worker_that_answers_again_gets_runs);
+    CPPUNIT_TEST(worker_that_stays_after_a_notice_gets_runs);
+    CPPUNIT_TEST(worker_whose_upkeep_is_declined_gets_runs);
+    CPPUNIT_TEST(room_kept_for_a_canceled_task_is_released);
+    CPPUNIT_TEST(quarantine_and_forgotten_ends_expire);
     CPPUNIT_TEST_SUITE_END();
 
     static void assert_no_violations(const fake_fleet& fleet) {
@@ -303,6 +308,80 @@
         CPPUNIT_ASSERT(fleet.control().counters().stalled_runs > 0);
         assert_no_violations(fleet);
     }
+
+    // Guards against workers that stay silent for the leader after they have answered.
+    void worker_that_answers_again_gets_runs() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        fleet.accept("qa", "unanswered", one_step(labeled(make_step(1, 1'000, 60'000))));
+        fleet.set_unresponsive(single_worker(fleet).ref.id, true);
+        fleet.run_for(8'000);
+        fleet.set_unresponsive(single_worker(fleet).ref.id, false);
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        assert_no_violations(fleet);
+    }
+
+    // Guards against a notice for a former life that closes the worker for good.
+    void worker_that_stays_after_a_notice_gets_runs() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        fleet.control().observe_leaving(single_worker(fleet).ref.id, fleet.now());
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        assert_no_violations(fleet);
+    }
+
+    // Guards against a worker that stays reserved while the platform carries out no order.
+    void worker_whose_upkeep_is_declined_gets_runs() {
+        fake_fleet fleet(one_pool(true));
+        fleet.run_for(500); // no VM is in standby yet
+        fleet.platform_busy = true;
+        fleet.order_wave({1, {single_vm}, 3'000, 1});
+        fleet.run_for(5'000);
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 1'000, 500))));
+        assert_no_violations(fleet);
+    }
+
+    // Guards against room that is kept for a task which leaves a VM and never arrives.
+    void room_kept_for_a_canceled_task_is_released() {
+        fake_fleet fleet(one_pool(true));
+        fleet.run_for(500); // no VM is in standby yet
+        fleet.accept("qa", "leaving", one_step(make_long_running_step(1, 15'000, 1)));
+        fleet.run_for(1'500);
+        wave_order order{1, {}, 10'000, 1};
+        for (const auto& [name, item] : fleet.vms()) {
+            if (name != single_vm)
+                order.vms.push_back(name);
+        }
+        CPPUNIT_ASSERT(single_worker(fleet).runs.empty());
+        fleet.order_wave(order);
+        const auto keeps_room = [&] {
+            return fleet.control().workers().at(single_worker(fleet).ref.id).kept_room !=
+                   resources{};
+        };
+        for (int i = 0; i < 100 && !keeps_room(); ++i)
+            fleet.run_for(5);
+        CPPUNIT_ASSERT(keeps_room());
+        fleet.cancel("leaving");
+        CPPUNIT_ASSERT(starts_in_time(fleet, "short", labeled(make_step(1, 2'000, 500))));
+        assert_no_violations(fleet);
+    }
+
+    // These states end with the time alone.
+    void quarantine_and_forgotten_ends_expire() {
+        constexpr time_ms now{100'000};
+        worker item;
+        item.capacity = {16'000, 32'000, 0};
+        item.reported = item.contacted = true;
+        item.health.quarantined_until = now + max_quarantine;
+        item.former_acknowledgement_at = now;
+        const auto step = make_step(1, 1'000, 500);
+        placement_request request;
+        request.step = &step;
+        CPPUNIT_ASSERT(exclusion::quarantined == find_exclusion(item, request, now));
+        CPPUNIT_ASSERT(exclusion::forgets_ends ==
+                       find_exclusion(item, request, now + max_quarantine));
+        CPPUNIT_ASSERT(exclusion::none == find_exclusion(item, request, now + max_order_delay));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(withheld_worker_test);
