The next leader lets best-effort runs without neighbor go on at once

Change: if no run on the worker reports a tail latency, a run with an unknown pace is ordered to full pace at once.

Evidence: withheld_worker_test::unpaced_runs_are_not_slowed_by_the_next_leader fails before (20 instead of 100 percent) and passes now.

--- a/src/workload/controller_runs.cpp
+++ b/src/workload/controller_runs.cpp
@@ -290,7 +290,10 @@
             run.stop_wanted)
             continue;
         auto next = next_pace(run.pace, worst, now - target.tail_high_at);
-        if (!next && run.pace_unclear && is_pace_certain(worst) &&
+        // Nothing on the worker needs the pause that an earlier leader may have ordered.
+        if (run.pace_unclear && worst == 0 && run.pace != full_pace)
+            next = full_pace;
+        if (!next && run.pace_unclear && is_pace_decided(worst) &&
             now - run.pace_sent_at >= pace_retry)
             next = run.pace;
         if (!next)
--- a/src/workload/pacing.cpp
+++ b/src/workload/pacing.cpp
@@ -28,7 +28,7 @@
     return next == pace ? std::nullopt : std::optional<int>(next);
 }
 
-bool is_pace_certain(double worst) {
+bool is_pace_decided(double worst) {
     return worst < raise_tail_ratio || worst >= tail_ratio_limit;
 }
 
--- a/src/workload/pacing.h
+++ b/src/workload/pacing.h
@@ -23,7 +23,7 @@
 std::optional<int> next_pace(int pace, double worst, time_ms time_below_limit);
 
 // False while a worker's tail ratio neither lowers nor raises the share of best-effort runs.
-bool is_pace_certain(double worst);
+bool is_pace_decided(double worst);
 
 // Highest ratio of tail latency to target among the runs on a worker; 0 if none has a target.
 double worst_tail_ratio(const worker& target);
--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(worker_on_probation_gets_runs_one_by_one);
     CPPUNIT_TEST(paused_runs_are_not_stalled);
     CPPUNIT_TEST(runs_paused_by_the_former_leader_go_on);
+    CPPUNIT_TEST(unpaced_runs_are_not_slowed_by_the_next_leader);
     CPPUNIT_TEST(unanswered_pause_is_no_stall);
     CPPUNIT_TEST(paced_runs_that_stand_still_are_stalled);
     CPPUNIT_TEST(worker_that_answers_again_gets_runs);
@@ -280,6 +281,23 @@
         assert_best_effort_tasks_end(fleet);
     }
 
+    // Guards against a next leader that takes all best-effort runs for paused ones, and raises
+    // their share only step by step.
+    void unpaced_runs_are_not_slowed_by_the_next_leader() {
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        auto filling = labeled(make_step(4, 2'000, 12'000));
+        filling.best_effort = true;
+        fleet.accept("qa", "filling", one_step(filling));
+        fleet.run_for(1'000);
+        fleet.replace_leader(0);
+        for (int i = 0; i < 1'000; ++i) {
+            fleet.run_for(5);
+            CPPUNIT_ASSERT_EQUAL(100, lowest_pace(fleet));
+        }
+        assert_no_violations(fleet);
+    }
+
     // A pause that is carried out without an answer holds a run back as well.
     void unanswered_pause_is_no_stall() {
         fake_fleet fleet(one_pool(false));
