--- a/tests/workload/fake_fleet.cpp
+++ b/tests/workload/fake_fleet.cpp
@@ -569,7 +569,6 @@
     }
     first_starts_.try_emplace(value.task, now_);
     run.long_running = spec.long_running;
-    run.best_effort = spec.best_effort;
     run.need = occupied_resources(spec);
     run.fails = value.payload == "fails";
     target.runs.push_back(run);
--- a/tests/workload/fake_fleet.h
+++ b/tests/workload/fake_fleet.h
@@ -25,7 +25,6 @@
     resources need;
     time_ms stop_at{0}; // end of a stop in progress; 0 if none
     bool fails = false;
-    bool best_effort = false;
     int pace = 100;
     time_ms paused{0}; // time that its pace has taken from it
 };
--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -132,7 +132,7 @@
                 waiting.required_label = single_rack;
             else
                 waiting.max_per_worker = 1;
-            // Memory that only a long-running task beside which no other fits leaves free.
+            // Beside it, no worker has enough memory left for the waiting tasks.
             auto long_step = make_step(5, 2'000, 60'000);
             long_step.need.memory = 4'000;
             long_step.max_per_worker = 1;
