--- a/tests/workload/withheld_worker_test.cpp
+++ b/tests/workload/withheld_worker_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(wave_beside_a_task_without_worker_withholds_none);
     CPPUNIT_TEST(waiting_step_withholds_no_worker_that_it_may_not_use);
     CPPUNIT_TEST(waiting_step_leaves_room_beside_its_own);
+    CPPUNIT_TEST(room_that_does_not_appear_is_held_no_longer);
     CPPUNIT_TEST(probation_ends_beside_a_long_running_task);
     CPPUNIT_TEST(long_running_tasks_start_on_a_worker_on_probation);
     CPPUNIT_TEST(worker_on_probation_gets_runs_one_by_one);
@@ -165,6 +166,25 @@
         assert_no_violations(fleet);
     }
 
+    // Guards against a long-running step that holds a worker for as long as a run outlasts its
+    // estimate.
+    void room_that_does_not_appear_is_held_no_longer() {
+        constexpr time_ms estimate{3'000};
+        fake_fleet fleet(one_pool(false));
+        fleet.run_for(2'500);
+        fleet.accept("qa", "running", one_step(labeled(make_step(1, 8'000, estimate))));
+        fleet.run_for(1'000);
+        single_worker(fleet).runs.at(0).work = 60'000;
+        fleet.accept("qa", "waiting", one_step(labeled(make_long_running_step(1, 10'000, 0))));
+        fleet.run_for(500);
+        fleet.accept("qa", "short", one_step(labeled(make_step(1, 7'000, 30'000))));
+        fleet.run_for(estimate - 1'500);
+        CPPUNIT_ASSERT_EQUAL(time_ms{0}, fleet.first_start({"short", 0, 0, 0}));
+        fleet.run_for(2'500); // the hold ends 2 s after the expected time
+        CPPUNIT_ASSERT(fleet.first_start({"short", 0, 0, 0}) != 0);
+        assert_no_violations(fleet);
+    }
+
     // Lets jobs that only the worker may run fail on it until it is quarantined.
     static void quarantine(fake_fleet& fleet) {
         single_worker(fleet).fails_all = true;
